--- /dev/null
+++ b/wire/src/lib.rs
@@ -0,0 +1,46 @@
+//! Border types and codecs between lavendergauge's processes and its callers.
+//!
+//! The types under each module are generated from the JSON Schemas in
+//! `wire/schema/`, and the output is committed; `wire/tests/schema_current.rs`
+//! checks that it is current.
+
+pub mod codec;
+
+/// What an agent announces about its worker, and what it learns in return.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/announce.rs"]
+pub mod announce;
+
+/// The operators' configuration and the changes to it.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/config.rs"]
+pub mod config;
+
+/// The planner's commands to agents about gang members.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/gang.rs"]
+pub mod gang;
+
+/// Jobs as callers submit them and as the store keeps them.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/job.rs"]
+pub mod job;
+
+/// Problem documents after RFC 9457.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/problem.rs"]
+pub mod problem;
+
+/// What entries and agents tell each other about one request.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/request.rs"]
+pub mod request;
+
+/// Version of the protocol between lavendergauge's processes.
+pub const VERSION: u32 = 1;
