--- /dev/null
+++ b/net/src/body.rs
@@ -0,0 +1,55 @@
+//! Bodies of requests and responses.
+
+use std::error::Error as StdError;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use http_body_util::combinators::BoxBody;
+use hyper::body::Body as HttpBody;
+
+/// Any error while a body is read.
+pub type Cause = Box<dyn StdError + Send + Sync>;
+
+/// A body of unknown kind, whole or streamed.
+pub type Body = BoxBody<Bytes, Cause>;
+
+/// Makes a body of bytes that are all there.
+///
+/// ```
+/// use lavendergauge_net::body;
+/// let _body = body::full("text");
+/// ```
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
+}
+
+/// Makes a body without bytes.
+///
+/// ```
+/// use lavendergauge_net::body;
+/// let _body = body::empty();
+/// ```
+pub fn empty() -> Body {
+    full(Bytes::new())
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+/// The transport's error, or a length error when the body is longer than `limit`.
+///
+/// ```
+/// use lavendergauge_net::body;
+/// let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+/// let bytes = runtime.block_on(body::collect(body::full("text"), 16)).unwrap();
+/// assert_eq!(bytes.as_ref(), b"text");
+/// ```
+pub async fn collect<B>(body: B, limit: usize) -> Result<Bytes, Cause>
+where
+    B: HttpBody<Data = Bytes>,
+    B::Error: Into<Cause>,
+{
+    Ok(Limited::new(body, limit).collect().await?.to_bytes())
+}
--- /dev/null
+++ b/net/src/lib.rs
@@ -0,0 +1,5 @@
+//! HTTP of lavendergauge: a server loop and a client over hyper.
+
+pub mod body;
+pub mod client;
+pub mod server;
--- /dev/null
+++ b/net/src/server.rs
@@ -0,0 +1,117 @@
+//! An HTTP server loop with bounded connections and graceful shutdown.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::conn::auto::Builder;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::body::Body;
+
+/// Time that a client has to send a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Most header lines of a request.
+const HEADER_LIMIT: usize = 64;
+/// Most bytes buffered for a request's head.
+const HEAD_BYTES: usize = 64 << 10;
+/// Pause after a failed accept, such as for lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The answer of a handler, still being worked on.
+pub type Answer = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
+
+/// A function that answers one request from one peer.
+pub type Handler = Arc<dyn Fn(Request<Incoming>, SocketAddr) -> Answer + Send + Sync>;
+
+/// Serves connections until `stop` turns true, then finishes every request in flight.
+///
+/// At most `limit` connections are open at a time; further peers wait in the listen queue.
+/// Returns when the last connection is closed.
+pub async fn serve(
+    listener: TcpListener,
+    handler: Handler,
+    limit: usize,
+    mut stop: watch::Receiver<bool>,
+) {
+    let places = Arc::new(Semaphore::new(limit));
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let place = tokio::select! {
+            () = stopped(&mut stop) => break,
+            place = places.clone().acquire_owned() => place,
+        };
+        let Ok(place) = place else { break };
+        let accepted = tokio::select! {
+            () = stopped(&mut stop) => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, peer)) = accepted else {
+            log::warn!("event=accept-failed");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let handler = handler.clone();
+        let stop = stop.clone();
+        connections.spawn(async move {
+            connection(stream, peer, handler, stop).await;
+            drop(place);
+        });
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+/// Serves one connection to its end.
+async fn connection(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: Handler,
+    mut stop: watch::Receiver<bool>,
+) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handler(request, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_headers(HEADER_LIMIT)
+        .max_buf_size(HEAD_BYTES);
+    builder.http2().timer(TokioTimer::new()).max_header_list_size(HEAD_BYTES as u32);
+    let serving = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(serving);
+    let ended = tokio::select! {
+        ended = serving.as_mut() => ended,
+        () = stopped(&mut stop) => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("event=connection-ended peer={peer} cause=\"{error}\"");
+    }
+}
+
+/// Waits until `stop` turns true or its sender is gone.
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    let _ = stop.wait_for(|stop| *stop).await;
+}
