lib: tables, planner, gates of the agent, permits

The thin version of each decision as values in and actions out. The agent alone gives away accelerators and slots, so two planners that overlap cannot book twice.

--- /dev/null
+++ b/lib/src/fleet.rs
@@ -0,0 +1,120 @@
+//! The operators' configuration and the workers' announcements, as the tables take them in.
+
+use std::time::Duration;
+
+use lavendergauge_derive::value;
+use smallvec::SmallVec;
+
+use crate::name::Name;
+use crate::shape::Accelerators;
+use crate::shape::Shape;
+
+/// A guarantee as configured.
+#[value]
+pub struct Guarantee {
+    /// Name within the client account.
+    pub name: Name,
+    /// What can always be claimed.
+    pub shape: Shape,
+    /// Allowed data centres; empty for any.
+    pub data_centres: SmallVec<[Name; 4]>,
+}
+
+/// A client account as configured.
+#[value]
+pub struct Account {
+    /// Name of the client account.
+    pub name: Name,
+    /// Most accelerators held at a time; 0 for no limit.
+    pub quota: u32,
+    /// Share of spare capacity, against the other accounts' weights.
+    pub weight: u32,
+    /// What the account can always claim.
+    pub guarantees: Vec<Guarantee>,
+}
+
+/// A data centre as configured.
+#[value]
+pub struct Zone {
+    /// Name of the data centre.
+    pub name: Name,
+    /// Whether work may start there.
+    pub open: bool,
+}
+
+/// How placement weighs waiting against whole free space.
+#[value]
+pub struct Policy {
+    /// Wait after which a large job gets a drain reservation.
+    pub large_wait: Duration,
+    /// Weight of keeping free space whole against starting early, in percent.
+    pub compactness_percent: u32,
+    /// Time that a borrower has to checkpoint before it is stopped.
+    pub notice: Duration,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Policy {
+            large_wait: Duration::from_secs(120),
+            compactness_percent: 50,
+            notice: Duration::from_secs(1),
+        }
+    }
+}
+
+/// The configuration at one revision.
+#[value]
+#[derive(Default)]
+pub struct Config {
+    /// Position in the total order of accepted configurations.
+    pub revision: u64,
+    /// All client accounts.
+    pub accounts: Vec<Account>,
+    /// All data centres.
+    pub zones: Vec<Zone>,
+    /// Placement policy.
+    pub policy: Policy,
+}
+
+/// What a worker's agent last announced.
+#[value]
+pub struct Report {
+    /// Name of the worker.
+    pub worker: Name,
+    /// Number of the agent's process; a new one has forgotten what the old one held.
+    pub incarnation: u64,
+    /// Data centre of the worker.
+    pub data_centre: Name,
+    /// Rack of the worker, unique within its data centre.
+    pub rack: Name,
+    /// Accelerators of the worker.
+    pub accelerators: u8,
+    /// Processor cores of the worker.
+    pub processors: u32,
+    /// Memory of the worker, in megabytes.
+    pub memory_mb: u64,
+    /// Whether the worker takes no new work.
+    pub leaving: bool,
+    /// What the agent holds accelerators for.
+    pub tasks: Vec<Task>,
+}
+
+/// One member that an agent holds accelerators for.
+#[value]
+pub struct Task {
+    /// Identifier of the job.
+    pub job: Name,
+    /// Attempt of the job.
+    pub attempt: u32,
+    /// Index of the member in the gang.
+    pub member: u32,
+    /// Accelerators held.
+    pub accelerators: Accelerators,
+    /// Processor cores held.
+    pub processors: u32,
+    /// Memory held, in megabytes.
+    pub memory_mb: u64,
+    /// Whether the member runs, rather than being prepared or stopped.
+    pub running: bool,
+}
--- /dev/null
+++ b/lib/src/gang.rs
@@ -0,0 +1,347 @@
+//! An agent's side of gangs: holds, arms, runs and stops members under fences.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use lavendergauge_derive::token;
+use lavendergauge_derive::value;
+
+use statig::blocking::IntoStateMachineExt;
+use statig::blocking::StateMachine;
+
+use crate::clock::Millis;
+use crate::gang_member::Event;
+use crate::gang_member::Member;
+use crate::gang_member::Move;
+use crate::name::Name;
+use crate::shape::Accelerators;
+
+/// What the planner tells an agent to do with one member.
+#[value]
+pub enum Step {
+    /// Hold accelerators for the member.
+    Prepare {
+        /// What is held.
+        hold: Hold,
+        /// Time after which an unused hold ends by itself.
+        lasts: Duration,
+    },
+    /// Promise to start at the next word.
+    Arm,
+    /// Start, under a lease.
+    Go {
+        /// Validity of the lease.
+        lease: Duration,
+    },
+    /// Extend the lease.
+    Renew {
+        /// Validity of the lease from now on.
+        lease: Duration,
+    },
+    /// Stop after a notice.
+    Stop {
+        /// Time to checkpoint.
+        notice: Duration,
+    },
+}
+
+/// What one member takes up on its worker.
+#[value]
+#[derive(Default)]
+pub struct Hold {
+    /// Accelerators.
+    pub accelerators: Accelerators,
+    /// Processor cores.
+    pub processors: u32,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+}
+
+/// One fenced command.
+#[value]
+pub struct Command {
+    /// The planner's epoch.
+    pub epoch: u64,
+    /// Identifier of the job.
+    pub job: Name,
+    /// Attempt of the job.
+    pub attempt: u32,
+    /// Index of the member in the gang.
+    pub member: u32,
+    /// What to do.
+    pub step: Step,
+}
+
+/// What became of a command.
+#[token]
+pub enum Verdict {
+    /// Carried out, now or before.
+    Done,
+    /// A newer planner has spoken.
+    StaleEpoch,
+    /// A newer attempt has been seen.
+    StaleAttempt,
+    /// The accelerators, processors or memory are not free.
+    Busy,
+    /// There is no fresh start permit.
+    NoPermit,
+    /// The worker takes no new work.
+    Leaving,
+    /// No such member is held here.
+    UnknownTask,
+}
+
+/// Something the shell has to do at the worker runtime.
+#[value]
+pub enum Effect {
+    /// Start the member.
+    Start(Slot),
+    /// Ask the member to checkpoint; it will be stopped when its notice ends.
+    Checkpoint(Slot),
+    /// Stop the member now.
+    Stop(Slot),
+}
+
+/// Identity of one member of one attempt.
+#[value]
+#[derive(Hash, PartialOrd, Ord)]
+pub struct Slot {
+    /// Identifier of the job.
+    pub job: Name,
+    /// Attempt of the job.
+    pub attempt: u32,
+    /// Index of the member in the gang.
+    pub member: u32,
+}
+
+/// Where a member is at its worker.
+#[token]
+pub enum Phase {
+    /// Accelerators are held.
+    Held,
+    /// It will start at the next word.
+    Armed,
+    /// It runs.
+    Running,
+    /// It was given notice.
+    Stopping,
+    /// It is over, and its accelerators are free.
+    Ended,
+}
+
+/// A member as the agent announces it.
+#[value]
+pub struct Standing {
+    /// Identity of the member.
+    pub slot: Slot,
+    /// Where it is.
+    pub phase: Phase,
+    /// What it holds.
+    pub hold: Hold,
+}
+
+/// What one worker has to give.
+#[token]
+#[derive(Default)]
+pub struct Capacity {
+    /// Accelerators.
+    pub accelerators: u8,
+    /// Processor cores.
+    pub processors: u32,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+}
+
+/// The only giver of one worker's accelerators.
+#[derive(Default)]
+pub struct Gate {
+    capacity: Capacity,
+    epoch: u64,
+    attempts: HashMap<Name, u32>,
+    members: HashMap<Slot, StateMachine<Member>>,
+}
+
+impl Gate {
+    /// Makes a gate over a worker's capacity.
+    ///
+    /// ```
+    /// use lavendergauge_lib::gang::Capacity;
+    /// use lavendergauge_lib::gang::Gate;
+    /// let gate = Gate::new(Capacity { accelerators: 8, processors: 64, memory_mb: 1024 });
+    /// assert_eq!(gate.epoch(), 0);
+    /// ```
+    pub fn new(capacity: Capacity) -> Self {
+        Gate { capacity, ..Gate::default() }
+    }
+
+    /// Returns the highest planner epoch seen.
+    ///
+    /// ```
+    /// assert_eq!(lavendergauge_lib::gang::Gate::default().epoch(), 0);
+    /// ```
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Carries out one command; `open` tells whether new work may start.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lavendergauge_lib::clock::Millis;
+    /// use lavendergauge_lib::gang::{Capacity, Command, Gate, Hold, Step, Verdict};
+    /// let mut gate = Gate::new(Capacity { accelerators: 1, ..Capacity::default() });
+    /// let hold = Hold { accelerators: [0].into_iter().collect(), ..Hold::default() };
+    /// let step = Step::Prepare { hold, lasts: Duration::from_secs(1) };
+    /// let command = Command { epoch: 1, job: "j".into(), attempt: 1, member: 0, step };
+    /// let (verdict, effects) = gate.command(Millis(0), &command, true);
+    /// assert_eq!(verdict, Verdict::Done);
+    /// assert!(effects.is_empty());
+    /// ```
+    pub fn command(
+        &mut self,
+        now: Millis,
+        command: &Command,
+        open: bool,
+    ) -> (Verdict, Vec<Effect>) {
+        if command.epoch < self.epoch {
+            return (Verdict::StaleEpoch, Vec::new());
+        }
+        self.epoch = command.epoch;
+        let newest = self.attempts.get(&command.job).copied().unwrap_or(0);
+        if command.attempt < newest {
+            return (Verdict::StaleAttempt, Vec::new());
+        }
+        let slot =
+            Slot { job: command.job.clone(), attempt: command.attempt, member: command.member };
+        match &command.step {
+            Step::Prepare { hold, lasts } => {
+                (self.prepare(slot, hold, now + *lasts, open), Vec::new())
+            }
+            Step::Arm => self.advance(&slot, &Event::Arm, &[Phase::Armed, Phase::Running]),
+            Step::Go { .. } if !open => (Verdict::NoPermit, Vec::new()),
+            Step::Go { lease } => self.advance(&slot, &Event::Go(now + *lease), &[Phase::Running]),
+            Step::Renew { lease } => {
+                self.advance(&slot, &Event::Renew(now + *lease), &[Phase::Running])
+            }
+            Step::Stop { notice } => {
+                self.attempts.insert(slot.job.clone(), slot.attempt);
+                let stopped = [Phase::Stopping, Phase::Ended];
+                self.advance(&slot, &Event::Stop(now + *notice), &stopped)
+            }
+        }
+    }
+
+    fn prepare(&mut self, slot: Slot, hold: &Hold, until: Millis, open: bool) -> Verdict {
+        if let Some(member) = self.members.get(&slot) {
+            let ended = member.state().phase() == Phase::Ended;
+            return if ended { Verdict::StaleAttempt } else { Verdict::Done };
+        }
+        if !open {
+            return Verdict::NoPermit;
+        }
+        if !self.has_room(hold) {
+            return Verdict::Busy;
+        }
+        self.attempts.insert(slot.job.clone(), slot.attempt);
+        let member = Member::new(hold.clone(), until);
+        self.members.insert(slot, member.state_machine());
+        Verdict::Done
+    }
+
+    fn has_room(&self, hold: &Hold) -> bool {
+        let mut left = self.capacity;
+        let mut taken = Vec::new();
+        for member in self.members.values().filter(|member| live(member)) {
+            taken.extend_from_slice(&member.hold().accelerators);
+            left.processors = left.processors.saturating_sub(member.hold().processors);
+            left.memory_mb = left.memory_mb.saturating_sub(member.hold().memory_mb);
+        }
+        let free = |index: &u8| *index < left.accelerators && !taken.contains(index);
+        hold.accelerators.iter().all(free)
+            && hold.processors <= left.processors
+            && hold.memory_mb <= left.memory_mb
+    }
+
+    /// Hands an event to a member; it is done when the member is then in one of `goals`.
+    fn advance(&mut self, slot: &Slot, event: &Event, goals: &[Phase]) -> (Verdict, Vec<Effect>) {
+        let Some(member) = self.members.get_mut(slot) else {
+            return (Verdict::UnknownTask, Vec::new());
+        };
+        let mut step = None;
+        member.handle_with_context(event, &mut step);
+        let done = goals.contains(&member.state().phase());
+        let effects = step.map(|step| effect(slot, step)).into_iter().collect();
+        (if done { Verdict::Done } else { Verdict::UnknownTask }, effects)
+    }
+
+    /// Ends what has outlived its hold, lease or notice.
+    ///
+    /// ```
+    /// use lavendergauge_lib::clock::Millis;
+    /// use lavendergauge_lib::gang::Gate;
+    /// assert!(Gate::default().tick(Millis(0)).is_empty());
+    /// ```
+    pub fn tick(&mut self, now: Millis) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for (slot, member) in &mut self.members {
+            let mut step = None;
+            member.handle_with_context(&Event::Tick(now), &mut step);
+            effects.extend(step.map(|step| effect(slot, step)));
+        }
+        effects
+    }
+
+    /// Takes in that the worker runtime has ended a member.
+    ///
+    /// ```
+    /// use lavendergauge_lib::gang::{Gate, Slot};
+    /// Gate::default().exit(&Slot { job: "j".into(), attempt: 1, member: 0 });
+    /// ```
+    pub fn exit(&mut self, slot: &Slot) {
+        if let Some(member) = self.members.get_mut(slot) {
+            member.handle_with_context(&Event::Exit, &mut None);
+        }
+    }
+
+    /// Forgets an ended member, once its end is recorded; its attempt stays fenced.
+    ///
+    /// ```
+    /// use lavendergauge_lib::gang::{Gate, Slot};
+    /// Gate::default().forget(&Slot { job: "j".into(), attempt: 1, member: 0 });
+    /// ```
+    pub fn forget(&mut self, slot: &Slot) {
+        self.members.retain(|known, member| known != slot || live(member));
+        let newest = self.attempts.entry(slot.job.clone()).or_default();
+        *newest = (*newest).max(slot.attempt + 1);
+    }
+
+    /// Returns where each member is.
+    ///
+    /// ```
+    /// assert!(lavendergauge_lib::gang::Gate::default().standings().is_empty());
+    /// ```
+    pub fn standings(&self) -> Vec<Standing> {
+        self.members
+            .iter()
+            .map(|(slot, member)| Standing {
+                slot: slot.clone(),
+                phase: member.state().phase(),
+                hold: member.hold().clone(),
+            })
+            .collect()
+    }
+}
+
+/// Tells whether a member still holds its accelerators.
+fn live(member: &StateMachine<Member>) -> bool {
+    member.state().phase() != Phase::Ended
+}
+
+/// Names the member that a move is for.
+fn effect(slot: &Slot, step: Move) -> Effect {
+    match step {
+        Move::Start => Effect::Start(slot.clone()),
+        Move::Checkpoint => Effect::Checkpoint(slot.clone()),
+        Move::Stop => Effect::Stop(slot.clone()),
+    }
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,18 @@
+//! Tables, systems and decisions of the lavendergauge scheduler.
+//!
+//! Nothing here does I/O, reads a clock or prints: a system takes the time and
+//! its events as values and returns typed actions, so that every decision can
+//! be replayed from its inputs.
+
+pub mod clock;
+pub mod fleet;
+pub mod gang;
+mod gang_member;
+pub mod key;
+pub mod name;
+pub mod permit;
+pub mod planner;
+pub mod request;
+pub mod route;
+pub mod shape;
+pub mod table;
--- /dev/null
+++ b/lib/src/name.rs
@@ -0,0 +1,61 @@
+//! Names of entities, as they appear at the border.
+
+use std::fmt;
+
+use bytes::Bytes;
+
+/// A name that is cheap to copy and kept as bytes until text is needed.
+#[derive(Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Name(Bytes);
+
+impl Name {
+    /// Returns the name as text.
+    ///
+    /// ```
+    /// use lavendergauge_lib::name::Name;
+    /// assert_eq!(Name::from("zilina-1").as_str(), "zilina-1");
+    /// ```
+    pub fn as_str(&self) -> &str {
+        std::str::from_utf8(&self.0).unwrap_or_default()
+    }
+
+    /// Tells whether the name has no characters.
+    ///
+    /// ```
+    /// use lavendergauge_lib::name::Name;
+    /// assert!(Name::default().is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl From<&str> for Name {
+    fn from(text: &str) -> Self {
+        Name(Bytes::copy_from_slice(text.as_bytes()))
+    }
+}
+
+impl From<String> for Name {
+    fn from(text: String) -> Self {
+        Name(Bytes::from(text))
+    }
+}
+
+impl From<&String> for Name {
+    fn from(text: &String) -> Self {
+        Name::from(text.as_str())
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl fmt::Debug for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self.as_str(), f)
+    }
+}
