--- /dev/null
+++ b/fakes/src/http.rs
@@ -0,0 +1,107 @@
+//! A small server around each stand-in.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use lavendergauge_net::body;
+use lavendergauge_net::body::Body;
+use lavendergauge_net::server;
+use lavendergauge_net::server::Answer;
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// Most connections of one stand-in.
+const CONNECTIONS: usize = 1024;
+/// Most bytes of a request.
+const REQUEST_LIMIT: usize = 16 << 20;
+
+/// A running stand-in; dropping it ends it and every connection.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+    _stop: watch::Sender<bool>,
+}
+
+impl Server {
+    /// Returns the loopback address that the stand-in listens on.
+    pub fn address(&self) -> String {
+        self.address.to_string()
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// One request, read whole.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// HTTP method.
+    pub method: Method,
+    /// Path without query.
+    pub path: String,
+    /// Header lines.
+    pub headers: hyper::HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// Returns the body as JSON, or null when it is not JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+}
+
+/// Starts a server on a free loopback port.
+///
+/// # Panics
+/// When no loopback port can be had.
+pub async fn start<F, R>(answer: F) -> Server
+where
+    F: Fn(Call) -> R + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback port");
+    let address = listener.local_addr().expect("bound address");
+    let (stop, stopped) = watch::channel(false);
+    let answer = Arc::new(answer);
+    let handler = move |request: Request<Incoming>, _peer: SocketAddr| -> Answer {
+        let answer = answer.clone();
+        Box::pin(async move {
+            let (head, body) = request.into_parts();
+            match body::collect(body, REQUEST_LIMIT).await {
+                Ok(body) => {
+                    let path = head.uri.path().to_owned();
+                    answer(Call { method: head.method, path, headers: head.headers, body }).await
+                }
+                Err(_) => status(StatusCode::BAD_REQUEST),
+            }
+        })
+    };
+    let task = tokio::spawn(server::serve(listener, Arc::new(handler), CONNECTIONS, stopped));
+    Server { address, task, _stop: stop }
+}
+
+/// Makes an answer without a body.
+pub fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+/// Makes an answer with a JSON body.
+pub fn json(value: &Value) -> Response<Body> {
+    Response::new(body::full(value.to_string()))
+}
--- /dev/null
+++ b/fakes/src/kv.rs
@@ -0,0 +1,249 @@
+//! A stand-in for the platform's key-value service, in the shape of the etcd v3 JSON gateway.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use hyper::Response;
+use hyper::StatusCode;
+use lavendergauge_net::body::Body;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time;
+use tokio::time::Instant;
+
+use crate::http;
+use crate::http::Call;
+use crate::http::Server;
+
+/// Faults that a test can switch on.
+#[derive(Clone, Debug, Default)]
+pub struct Fault {
+    /// Answers nothing but errors.
+    pub down: bool,
+    /// Waits before each answer.
+    pub delay: Duration,
+    /// Number of writes that take effect and whose answers are then lost.
+    pub lose_answers: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    value: Vec<u8>,
+    created: i64,
+    modified: i64,
+    version: i64,
+    lease: i64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: i64,
+    entries: BTreeMap<Vec<u8>, Entry>,
+    leases: HashMap<i64, Lease>,
+    next_lease: i64,
+    fault: Fault,
+    calls: HashMap<String, u64>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    lasts: Duration,
+    until: Instant,
+}
+
+/// The stand-in's contents and faults; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Kv {
+    state: Arc<Mutex<State>>,
+}
+
+impl Kv {
+    /// Starts a server over the contents.
+    pub async fn serve(&self) -> Server {
+        let kv = self.clone();
+        http::start(move |call| {
+            let kv = kv.clone();
+            async move { kv.answer(call).await }
+        })
+        .await
+    }
+
+    /// Replaces the faults.
+    pub fn set_fault(&self, fault: Fault) {
+        self.lock().fault = fault;
+    }
+
+    /// Ends a lease at once, with the keys bound to it.
+    pub fn lapse_leases(&self) {
+        let mut state = self.lock();
+        let ids: Vec<i64> = state.leases.keys().copied().collect();
+        for id in ids {
+            end_lease(&mut state, id);
+        }
+    }
+
+    /// Returns how many calls of each path were made.
+    pub fn calls(&self) -> HashMap<String, u64> {
+        self.lock().calls.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    async fn answer(&self, call: Call) -> Response<Body> {
+        let fault = self.lock().fault.clone();
+        time::sleep(fault.delay).await;
+        if fault.down {
+            return http::status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let mut state = self.lock();
+        *state.calls.entry(call.path.clone()).or_default() += 1;
+        expire(&mut state);
+        let before = state.revision;
+        let answer = match call.path.as_str() {
+            "/v3/kv/range" => range(&state, &call.json()),
+            "/v3/kv/txn" => txn(&mut state, &call.json()),
+            "/v3/lease/grant" => grant(&mut state, &call.json()),
+            "/v3/lease/keepalive" => keepalive(&mut state, &call.json()),
+            "/v3/lease/revoke" => {
+                end_lease(&mut state, number(&call.json()["ID"]));
+                json!({"header": header(&state)})
+            }
+            _ => return http::status(StatusCode::NOT_FOUND),
+        };
+        if before != state.revision && 0 < state.fault.lose_answers {
+            state.fault.lose_answers -= 1;
+            return http::status(StatusCode::GATEWAY_TIMEOUT);
+        }
+        http::json(&answer)
+    }
+}
+
+fn header(state: &State) -> Value {
+    json!({"revision": state.revision.to_string()})
+}
+
+fn expire(state: &mut State) {
+    let now = Instant::now();
+    let over: Vec<i64> =
+        state.leases.iter().filter(|(_, lease)| lease.until <= now).map(|(&id, _)| id).collect();
+    for id in over {
+        end_lease(state, id);
+    }
+}
+
+fn end_lease(state: &mut State, id: i64) {
+    if state.leases.remove(&id).is_none() {
+        return;
+    }
+    let before = state.entries.len();
+    state.entries.retain(|_, entry| entry.lease != id);
+    if state.entries.len() < before {
+        state.revision += 1;
+    }
+}
+
+/// Reads a number that the gateway writes as a string.
+fn number(value: &Value) -> i64 {
+    value.as_i64().or_else(|| value.as_str()?.parse().ok()).unwrap_or_default()
+}
+
+/// Reads bytes that the gateway writes in base64.
+fn octets(value: &Value) -> Vec<u8> {
+    value.as_str().and_then(|text| STANDARD.decode(text).ok()).unwrap_or_default()
+}
+
+fn entry_json(key: &[u8], entry: &Entry) -> Value {
+    json!({
+        "key": STANDARD.encode(key),
+        "value": STANDARD.encode(&entry.value),
+        "create_revision": entry.created.to_string(),
+        "mod_revision": entry.modified.to_string(),
+        "version": entry.version.to_string(),
+        "lease": entry.lease.to_string(),
+    })
+}
+
+fn range(state: &State, request: &Value) -> Value {
+    let key = octets(&request["key"]);
+    let end = octets(&request["range_end"]);
+    let entries: Vec<Value> = state
+        .entries
+        .range(key.clone()..)
+        .take_while(|(known, _)| if end.is_empty() { **known == key } else { **known < end })
+        .map(|(known, entry)| entry_json(known, entry))
+        .collect();
+    json!({"header": header(state), "count": entries.len().to_string(), "kvs": entries})
+}
+
+fn txn(state: &mut State, request: &Value) -> Value {
+    let compares = request["compare"].as_array().cloned().unwrap_or_default();
+    let holds = compares.iter().all(|compare| {
+        let known = state.entries.get(&octets(&compare["key"]));
+        known.map_or(0, |entry| entry.modified) == number(&compare["mod_revision"])
+    });
+    let branch = if holds { "success" } else { "failure" };
+    let operations = request[branch].as_array().cloned().unwrap_or_default();
+    let responses: Vec<Value> =
+        operations.iter().map(|operation| operate(state, operation)).collect();
+    json!({"header": header(state), "succeeded": holds, "responses": responses})
+}
+
+fn operate(state: &mut State, operation: &Value) -> Value {
+    if operation["request_put"].is_object() {
+        let put = &operation["request_put"];
+        store(state, octets(&put["key"]), octets(&put["value"]), number(&put["lease"]));
+        return json!({"response_put": {"header": header(state)}});
+    }
+    if operation["request_delete_range"].is_object() {
+        let key = octets(&operation["request_delete_range"]["key"]);
+        if state.entries.remove(&key).is_some() {
+            state.revision += 1;
+        }
+        return json!({"response_delete_range": {"header": header(state)}});
+    }
+    json!({"response_range": range(state, &operation["request_range"])})
+}
+
+fn store(state: &mut State, key: Vec<u8>, value: Vec<u8>, lease: i64) {
+    state.revision += 1;
+    let revision = state.revision;
+    let entry = state.entries.entry(key).or_insert(Entry {
+        value: Vec::new(),
+        created: revision,
+        modified: 0,
+        version: 0,
+        lease: 0,
+    });
+    entry.value = value;
+    entry.modified = revision;
+    entry.version += 1;
+    entry.lease = lease;
+}
+
+fn grant(state: &mut State, request: &Value) -> Value {
+    let lasts = Duration::from_secs(number(&request["TTL"]).unsigned_abs());
+    state.next_lease += 1;
+    let id = state.next_lease;
+    state.leases.insert(id, Lease { lasts, until: Instant::now() + lasts });
+    json!({"header": header(state), "ID": id.to_string(), "TTL": lasts.as_secs().to_string()})
+}
+
+fn keepalive(state: &mut State, request: &Value) -> Value {
+    let id = number(&request["ID"]);
+    let lasts = match state.leases.get_mut(&id) {
+        Some(lease) => {
+            lease.until = Instant::now() + lease.lasts;
+            lease.lasts.as_secs()
+        }
+        None => 0,
+    };
+    json!({"result": {"header": header(state), "ID": id.to_string(), "TTL": lasts.to_string()}})
+}
--- /dev/null
+++ b/fakes/src/lib.rs
@@ -0,0 +1,6 @@
+//! Stand-ins for the platform and a target, for tests and the tour alone.
+
+pub mod http;
+pub mod kv;
+pub mod runtime;
+pub mod target;
