--- /dev/null
+++ b/daemon/src/embedded.rs
@@ -0,0 +1,389 @@
+//! A whole fleet in one process: entries, agents, targets and a stand-in platform.
+//!
+//! Everything talks over loopback HTTP by the same code as separate processes do.
+//! The tour and the tests run on it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use lavendergauge_derive::value;
+use lavendergauge_fakes::http::Server;
+use lavendergauge_fakes::kv::Kv;
+use lavendergauge_fakes::runtime::Runtime;
+use lavendergauge_fakes::target::Target;
+use lavendergauge_net::body;
+use lavendergauge_net::client;
+use lavendergauge_net::client::Client;
+use lavendergauge_wire::announce::Frame;
+use lavendergauge_wire::codec;
+use lavendergauge_wire::config::Document;
+use lavendergauge_wire::job::Record;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time;
+
+use crate::agent;
+use crate::entry;
+use crate::entry_service::ACCOUNT_HEADER;
+use crate::entry_service::KEY_HEADER;
+use crate::settings;
+use crate::settings::Role;
+use crate::settings::Settings;
+
+/// Deadline of one call.
+const DEADLINE: Duration = Duration::from_secs(10);
+/// Pause between two looks at something that is waited for.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// Why a fleet could not be started or called.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A call failed.
+    #[error("a call failed: {0}")]
+    Call(#[from] client::Error),
+    /// A body was not what it should be.
+    #[error("{0}")]
+    Codec(#[from] codec::Error),
+    /// A socket could not be had.
+    #[error("{0}")]
+    Socket(#[from] std::io::Error),
+    /// The settings are wrong.
+    #[error("settings: {0:?}")]
+    Settings(Vec<settings::Fault>),
+    /// An entry refused a call.
+    #[error("refused with status {0}: {1}")]
+    Refused(u16, String),
+    /// Something that was waited for did not happen in time.
+    #[error("not within {0:?}: {1}")]
+    Late(Duration, String),
+}
+
+/// What a fleet is made of.
+#[value]
+pub struct Plan {
+    /// Number of entries.
+    pub entries: usize,
+    /// Names of the data centres.
+    pub data_centres: Vec<String>,
+    /// Racks in each data centre.
+    pub racks: usize,
+    /// Workers in each rack.
+    pub workers: usize,
+    /// Accelerators of each worker.
+    pub accelerators: u8,
+    /// Requests that each target takes at a time.
+    pub slots: u32,
+    /// Interval between announcements, in milliseconds.
+    pub announce_ms: u64,
+    /// Interval of the planner's ticks, in milliseconds.
+    pub tick_ms: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan {
+            entries: 1,
+            data_centres: vec!["zilina-1".to_owned(), "zilina-2".to_owned()],
+            racks: 1,
+            workers: 2,
+            accelerators: 8,
+            slots: 8,
+            announce_ms: 200,
+            tick_ms: 100,
+        }
+    }
+}
+
+/// One worker with its agent and stand-ins.
+pub struct Worker {
+    /// Name of the worker.
+    pub name: String,
+    /// Data centre of the worker.
+    pub data_centre: String,
+    /// Settings of its agent, to start another one in its place.
+    pub settings: Settings,
+    /// The running agent; `None` once it was stopped.
+    pub agent: Option<agent::Handle>,
+    /// Stand-in of the worker runtime.
+    pub runtime: Runtime,
+    /// Stand-in of the target.
+    pub target: Target,
+    _servers: [Server; 2],
+}
+
+/// A whole fleet in one process.
+pub struct Fleet {
+    /// The running entries.
+    pub entries: Vec<entry::Handle>,
+    /// The workers.
+    pub workers: Vec<Worker>,
+    /// Stand-in of the platform's key-value service.
+    pub kv: Kv,
+    /// Client that calls are made with.
+    pub client: Client,
+    store: Server,
+}
+
+fn parse(text: &str) -> Result<Settings, Error> {
+    settings::parse(text).map_err(Error::Settings)
+}
+
+/// Starts a fleet by plan.
+///
+/// # Errors
+/// When a socket cannot be had.
+pub async fn start(plan: &Plan) -> Result<Fleet, Error> {
+    let kv = Kv::default();
+    let store = kv.serve().await;
+    let mut fleet =
+        Fleet { entries: Vec::new(), workers: Vec::new(), kv, client: Client::default(), store };
+    for _ in 0..plan.entries {
+        fleet.add_entry(plan).await?;
+    }
+    for data_centre in &plan.data_centres {
+        for rack in 0..plan.racks {
+            for index in 0..plan.workers {
+                let name = format!("{data_centre}-{rack}-{index}");
+                fleet.add_worker(plan, name, data_centre, &format!("rack-{rack}")).await?;
+            }
+        }
+    }
+    Ok(fleet)
+}
+
+impl Fleet {
+    /// Returns the stand-in store's address.
+    pub fn store_address(&self) -> String {
+        self.store.address()
+    }
+
+    /// Starts one more entry.
+    ///
+    /// # Errors
+    /// When a socket cannot be had.
+    pub async fn add_entry(&mut self, plan: &Plan) -> Result<(), Error> {
+        let settings = parse(&format!(
+            "[process]\nrole = entry\nname = entry-{}\ndata_centre = {}\n\
+             [entry]\nservice_address = 127.0.0.1:0\ncontrol_address = 127.0.0.1:0\n\
+             tick_ms = {}\n[store]\naddress = {}\n",
+            self.entries.len() + 1,
+            plan.data_centres[self.entries.len() % plan.data_centres.len()],
+            plan.tick_ms,
+            self.store.address()
+        ))?;
+        if let Role::Entry(role) = &settings.role {
+            self.entries.push(entry::start(&settings, role).await?);
+        }
+        Ok(())
+    }
+
+    /// Starts one more worker with its agent and stand-ins.
+    ///
+    /// # Errors
+    /// When a socket cannot be had.
+    pub async fn add_worker(
+        &mut self,
+        plan: &Plan,
+        name: String,
+        data_centre: &str,
+        rack: &str,
+    ) -> Result<(), Error> {
+        let runtime = Runtime::default();
+        let target = Target::default();
+        let servers = [runtime.serve().await, target.serve().await];
+        let entries: Vec<String> =
+            self.entries.iter().map(|entry| entry.control_address.to_string()).collect();
+        let settings = parse(&format!(
+            "[process]\nrole = agent\nname = {name}\ndata_centre = {data_centre}\n\
+             [agent]\naddress = 127.0.0.1:0\nentries = {}\nannounce_ms = {}\n\
+             [worker]\nrack = {rack}\naccelerators = {}\nprocessors = 64\nmemory_mb = 131072\n\
+             [target]\naddress = {}\nslots = {}\nconnections = 64\n[runtime]\naddress = {}\n",
+            entries.join(","),
+            plan.announce_ms,
+            plan.accelerators,
+            servers[1].address(),
+            plan.slots,
+            servers[0].address()
+        ))?;
+        let agent = match &settings.role {
+            Role::Agent(role) => Some(agent::start(&settings, role).await?),
+            Role::Entry(_) => None,
+        };
+        let data_centre = data_centre.to_owned();
+        let worker =
+            Worker { name, data_centre, settings, agent, runtime, target, _servers: servers };
+        self.workers.push(worker);
+        Ok(())
+    }
+
+    /// Calls the administration API of one entry.
+    ///
+    /// # Errors
+    /// When the entry gives no answer; an error status is no error here.
+    pub async fn api(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> Result<Response<Bytes>, Error> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.entries[entry].control_address))
+            .body(body::full(body.to_string()))
+            .map_err(|error| client::Error::Malformed(error.to_string()))?;
+        Ok(self.client.fetch(request, DEADLINE).await?)
+    }
+
+    /// Reads the configuration in force at the first entry.
+    ///
+    /// # Errors
+    /// When the entry gives no answer.
+    pub async fn document(&self) -> Result<Document, Error> {
+        decode(&self.api(0, Method::GET, "/v1/config", &Value::Null).await?)
+    }
+
+    /// Changes the configuration on top of the revision in force at the first entry.
+    ///
+    /// # Errors
+    /// When the entry gives no answer or refuses.
+    pub async fn change(&self, id: &str, operations: Value) -> Result<Document, Error> {
+        let base = self.document().await?.revision;
+        let change = json!({"id": id, "base": base, "operations": operations});
+        decode(&self.api(0, Method::POST, "/v1/config/changes", &change).await?)
+    }
+
+    /// Waits until every worker has seen a revision.
+    ///
+    /// # Errors
+    /// [`Error::Late`] when that takes longer than `limit`.
+    pub async fn wait_in_force(&self, revision: u64, limit: Duration) -> Result<(), Error> {
+        let begun = Instant::now();
+        while begun.elapsed() < limit {
+            let answer = self.api(0, Method::GET, "/v1/workers", &Value::Null).await?;
+            let frames: Vec<Frame> = decode(&answer)?;
+            let current = frames.iter().filter(|frame| revision <= frame.revision).count();
+            if current == self.workers.iter().filter(|worker| worker.agent.is_some()).count() {
+                return Ok(());
+            }
+            time::sleep(LOOK_EVERY).await;
+        }
+        Err(Error::Late(limit, format!("revision {revision} is in force")))
+    }
+
+    /// Submits a job and returns its identifier.
+    ///
+    /// # Errors
+    /// When the entry gives no answer or refuses.
+    pub async fn submit(&self, spec: &Value) -> Result<String, Error> {
+        let record: Record = decode(&self.api(0, Method::POST, "/v1/jobs", spec).await?)?;
+        Ok(record.id)
+    }
+
+    /// Reads a job's record.
+    ///
+    /// # Errors
+    /// When the entry gives no answer or refuses.
+    pub async fn job(&self, id: &str) -> Result<Record, Error> {
+        decode(&self.api(0, Method::GET, &format!("/v1/jobs/{id}"), &Value::Null).await?)
+    }
+
+    /// Waits until a job's record satisfies a condition.
+    ///
+    /// # Errors
+    /// [`Error::Late`] when that takes longer than `limit`.
+    pub async fn wait_job(
+        &self,
+        id: &str,
+        limit: Duration,
+        holds: impl Fn(&Record) -> bool,
+    ) -> Result<Record, Error> {
+        let begun = Instant::now();
+        loop {
+            let record = self.job(id).await?;
+            if holds(&record) {
+                return Ok(record);
+            }
+            if limit <= begun.elapsed() {
+                let text = format!("job {id} is {}: {}", record.state, record.reason);
+                return Err(Error::Late(limit, text));
+            }
+            time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Sends one POST as a caller of a client account through an entry.
+    ///
+    /// # Errors
+    /// When the entry gives no answer; an error status is no error here.
+    pub async fn request(
+        &self,
+        entry: usize,
+        account: &str,
+        key: &str,
+        body: &str,
+    ) -> Result<Response<Bytes>, Error> {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}/check", self.entries[entry].service_address))
+            .header(ACCOUNT_HEADER, account)
+            .header(KEY_HEADER, key)
+            .body(body::full(body.to_owned()))
+            .map_err(|error| client::Error::Malformed(error.to_string()))?;
+        Ok(self.client.fetch(request, DEADLINE).await?)
+    }
+
+    /// Stops every process gracefully.
+    pub async fn stop(self) {
+        for worker in self.workers {
+            if let Some(agent) = worker.agent {
+                agent.stop().await;
+            }
+        }
+        for entry in self.entries {
+            entry.stop().await;
+        }
+    }
+}
+
+/// Makes the operations that create client accounts and open data centres.
+///
+/// ```
+/// use lavendergauge_daemon::embedded;
+/// let operations = embedded::set_up(&[("brno", serde_json::json!([]))], &["zilina-1"]);
+/// assert_eq!(operations.as_array().map(Vec::len), Some(2));
+/// ```
+pub fn set_up(accounts: &[(&str, Value)], data_centres: &[&str]) -> Value {
+    let mut operations = Vec::new();
+    for (name, guarantees) in accounts {
+        operations.push(json!({"op": "put-account", "account": {"name": name, "quota": 0,
+            "weight": 1, "guarantees": guarantees, "keys": []}}));
+    }
+    for name in data_centres {
+        operations.push(put_data_centre(name, "in"));
+    }
+    Value::from(operations)
+}
+
+/// Makes the operation that takes a data centre `in` or `out`.
+///
+/// ```
+/// let operation = lavendergauge_daemon::embedded::put_data_centre("zilina-1", "out");
+/// assert_eq!(operation["zone"]["standing"], "out");
+/// ```
+pub fn put_data_centre(name: &str, standing: &str) -> Value {
+    json!({"op": "put-data-centre",
+        "zone": {"name": name, "region": "zilina", "standing": standing}})
+}
+
+fn decode<T: serde::de::DeserializeOwned>(answer: &Response<Bytes>) -> Result<T, Error> {
+    if !answer.status().is_success() {
+        let text = String::from_utf8_lossy(answer.body()).into_owned();
+        return Err(Error::Refused(answer.status().as_u16(), text));
+    }
+    Ok(codec::from_json(answer.body())?)
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod config;
 pub mod duty;
+pub mod embedded;
 pub mod entry;
 pub mod entry_control;
 pub mod entry_service;
