--- a/daemon/src/embedded.rs
+++ b/daemon/src/embedded.rs
@@ -128,6 +128,77 @@
     store: Server,
 }
 
+/// Where one worker stands and what its agent talks to.
+#[value]
+pub struct Place {
+    /// Name of the worker.
+    pub name: String,
+    /// Data centre of the worker.
+    pub data_centre: String,
+    /// Rack of the worker.
+    pub rack: String,
+    /// Control addresses of the entries.
+    pub entries: Vec<String>,
+    /// Address of the target.
+    pub target_address: String,
+    /// Address of the worker runtime.
+    pub runtime_address: String,
+}
+
+/// Writes the settings file of an entry on free loopback ports.
+///
+/// ```
+/// use lavendergauge_daemon::embedded;
+/// use lavendergauge_daemon::embedded::Plan;
+/// use lavendergauge_daemon::settings;
+/// let text = embedded::entry_text(&Plan::default(), "entry-1", "zilina-1", "127.0.0.1:2379");
+/// assert!(settings::parse(&text).is_ok());
+/// ```
+pub fn entry_text(plan: &Plan, name: &str, data_centre: &str, store: &str) -> String {
+    format!(
+        "[process]\nrole = entry\nname = {name}\ndata_centre = {data_centre}\n\
+         [entry]\nservice_address = 127.0.0.1:0\ncontrol_address = 127.0.0.1:0\n\
+         tick_ms = {}\n[store]\naddress = {store}\n",
+        plan.tick_ms
+    )
+}
+
+/// Writes the settings file of an agent on a free loopback port.
+///
+/// ```
+/// use lavendergauge_daemon::embedded;
+/// use lavendergauge_daemon::embedded::Place;
+/// use lavendergauge_daemon::embedded::Plan;
+/// use lavendergauge_daemon::settings;
+/// let place = Place {
+///     name: "worker-1".to_owned(),
+///     data_centre: "zilina-1".to_owned(),
+///     rack: "rack-1".to_owned(),
+///     entries: vec!["127.0.0.1:7001".to_owned()],
+///     target_address: "127.0.0.1:8000".to_owned(),
+///     runtime_address: "127.0.0.1:9000".to_owned(),
+/// };
+/// let text = embedded::agent_text(&Plan::default(), &place);
+/// assert!(settings::parse(&text).is_ok());
+/// ```
+pub fn agent_text(plan: &Plan, place: &Place) -> String {
+    format!(
+        "[process]\nrole = agent\nname = {}\ndata_centre = {}\n\
+         [agent]\naddress = 127.0.0.1:0\nentries = {}\nannounce_ms = {}\n\
+         [worker]\nrack = {}\naccelerators = {}\nprocessors = 64\nmemory_mb = 131072\n\
+         [target]\naddress = {}\nslots = {}\nconnections = 64\n[runtime]\naddress = {}\n",
+        place.name,
+        place.data_centre,
+        place.entries.join(","),
+        plan.announce_ms,
+        place.rack,
+        plan.accelerators,
+        place.target_address,
+        plan.slots,
+        place.runtime_address
+    )
+}
+
 fn parse(text: &str) -> Result<Settings, Error> {
     settings::parse(text).map_err(Error::Settings)
 }
@@ -166,15 +237,9 @@
     /// # Errors
     /// When a socket cannot be had.
     pub async fn add_entry(&mut self, plan: &Plan) -> Result<(), Error> {
-        let settings = parse(&format!(
-            "[process]\nrole = entry\nname = entry-{}\ndata_centre = {}\n\
-             [entry]\nservice_address = 127.0.0.1:0\ncontrol_address = 127.0.0.1:0\n\
-             tick_ms = {}\n[store]\naddress = {}\n",
-            self.entries.len() + 1,
-            plan.data_centres[self.entries.len() % plan.data_centres.len()],
-            plan.tick_ms,
-            self.store.address()
-        ))?;
+        let name = format!("entry-{}", self.entries.len() + 1);
+        let data_centre = &plan.data_centres[self.entries.len() % plan.data_centres.len()];
+        let settings = parse(&entry_text(plan, &name, data_centre, &self.store.address()))?;
         if let Role::Entry(role) = &settings.role {
             self.entries.push(entry::start(&settings, role).await?);
         }
@@ -197,18 +262,15 @@
         let servers = [runtime.serve().await, target.serve().await];
         let entries: Vec<String> =
             self.entries.iter().map(|entry| entry.control_address.to_string()).collect();
-        let settings = parse(&format!(
-            "[process]\nrole = agent\nname = {name}\ndata_centre = {data_centre}\n\
-             [agent]\naddress = 127.0.0.1:0\nentries = {}\nannounce_ms = {}\n\
-             [worker]\nrack = {rack}\naccelerators = {}\nprocessors = 64\nmemory_mb = 131072\n\
-             [target]\naddress = {}\nslots = {}\nconnections = 64\n[runtime]\naddress = {}\n",
-            entries.join(","),
-            plan.announce_ms,
-            plan.accelerators,
-            servers[1].address(),
-            plan.slots,
-            servers[0].address()
-        ))?;
+        let place = Place {
+            name: name.clone(),
+            data_centre: data_centre.to_owned(),
+            rack: rack.to_owned(),
+            entries,
+            target_address: servers[1].address(),
+            runtime_address: servers[0].address(),
+        };
+        let settings = parse(&agent_text(plan, &place))?;
         let agent = match &settings.role {
             Role::Agent(role) => Some(agent::start(&settings, role).await?),
             Role::Entry(_) => None,
