settings: every key typed, ranged and checked at once

Cause: a settings file was checked key by key where it was read, unknown keys passed, and a fault had no line.

Change: one table holds each key with its reader, kind, default and meaning; rust-ini reads the file and each key is found again at its line. Unknown keys and sections, repeats, keys of the other role and lines that are no INI are faults. `lavendergauged keys ROLE` writes the table as a settings file.

Conclusion: a new key is one line of the table and one line that reads it.

--- a/daemon/src/embedded.rs
+++ b/daemon/src/embedded.rs
@@ -33,6 +33,7 @@
 use crate::settings;
 use crate::settings::Role;
 use crate::settings::Settings;
+use crate::settings_file::Fault;
 
 /// Deadline of one call.
 const DEADLINE: Duration = Duration::from_secs(10);
@@ -53,7 +54,7 @@
     Socket(#[from] std::io::Error),
     /// The settings are wrong.
     #[error("settings: {0:?}")]
-    Settings(Vec<settings::Fault>),
+    Settings(Vec<Fault>),
     /// An entry refused a call.
     #[error("refused with status {0}: {1}")]
     Refused(u16, String),
@@ -156,7 +157,7 @@
 /// ```
 pub fn entry_text(plan: &Plan, name: &str, data_centre: &str, store: &str) -> String {
     format!(
-        "[process]\nrole = entry\nname = {name}\ndata_centre = {data_centre}\n\
+        "[process]\nrole = entry\nname = {name}\ndata_centre = {data_centre}\nopen_access = yes\n\
          [entry]\nservice_address = 127.0.0.1:0\ncontrol_address = 127.0.0.1:0\n\
          tick_ms = {}\n[store]\naddress = {store}\n",
         plan.tick_ms
@@ -183,7 +184,7 @@
 /// ```
 pub fn agent_text(plan: &Plan, place: &Place) -> String {
     format!(
-        "[process]\nrole = agent\nname = {}\ndata_centre = {}\n\
+        "[process]\nrole = agent\nname = {}\ndata_centre = {}\nopen_access = yes\n\
          [agent]\naddress = 127.0.0.1:0\nentries = {}\nannounce_ms = {}\n\
          [worker]\nrack = {}\naccelerators = {}\nprocessors = 64\nmemory_mb = 131072\n\
          [target]\naddress = {}\nslots = {}\nconnections = 64\n[runtime]\naddress = {}\n",
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -16,5 +16,7 @@
 pub mod problem;
 pub mod runtime;
 pub mod settings;
+pub mod settings_file;
+pub mod settings_key;
 pub mod store;
 pub mod tour;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -12,6 +12,7 @@
 use lavendergauge_daemon::settings;
 use lavendergauge_daemon::settings::Role;
 use lavendergauge_daemon::settings::Settings;
+use lavendergauge_daemon::settings_key::Reader;
 use lavendergauge_daemon::tour;
 use log::LevelFilter;
 use tokio::signal::unix::SignalKind;
@@ -26,6 +27,11 @@
         .subcommand_required(true)
         .subcommand(Command::new("run").about("Run an entry or an agent").arg(settings.clone()))
         .subcommand(Command::new("check").about("Check a settings file").arg(settings))
+        .subcommand(
+            Command::new("keys")
+                .about("Write every settings key of a role with its default")
+                .arg(Arg::new("role").value_parser(["entry", "agent"]).required(true)),
+        )
         .subcommand(Command::new("tour").about("Run a whole system in one process"))
 }
 
@@ -33,7 +39,11 @@
 async fn main() -> ExitCode {
     let outcome = match command().get_matches().subcommand() {
         Some(("run", matches)) => run(matches).await,
-        Some(("check", matches)) => read(matches).map(|_| println!("settings are good")),
+        Some(("check", matches)) => check(matches),
+        Some(("keys", matches)) => {
+            print!("{}", settings::explain(reader(matches)));
+            Ok(())
+        }
         _ => {
             logs::start(LevelFilter::Warn);
             tour::run().await.map_err(|error| error.to_string())
@@ -48,21 +58,39 @@
     }
 }
 
-fn read(matches: &ArgMatches) -> Result<Settings, String> {
-    let path = matches.get_one::<String>("settings").cloned().unwrap_or_default();
-    let text = fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
+fn path(matches: &ArgMatches) -> String {
+    matches.get_one::<String>("settings").cloned().unwrap_or_default()
+}
+
+fn reader(matches: &ArgMatches) -> Reader {
+    let role = matches.get_one::<String>("role").map(String::as_str);
+    if role == Some("agent") { Reader::Agent } else { Reader::Entry }
+}
+
+fn read(path: &str) -> Result<Settings, String> {
+    let text = fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
     settings::parse(&text).map_err(|faults| {
-        let lines: Vec<String> = faults
-            .iter()
-            .map(|fault| format!("{path}: [{}] {} {}", fault.section, fault.key, fault.text))
-            .collect();
-        lines.join("\n")
+        let count = faults.len();
+        let noun = if count == 1 { "fault" } else { "faults" };
+        let lines: Vec<String> = faults.iter().map(|fault| format!("{path}:{fault}")).collect();
+        format!("{count} {noun} in {path}\n{}", lines.join("\n"))
     })
 }
 
+fn check(matches: &ArgMatches) -> Result<(), String> {
+    let path = path(matches);
+    let settings = read(&path)?;
+    let role = match settings.role {
+        Role::Entry(_) => "entry",
+        Role::Agent(_) => "agent",
+    };
+    println!("{path}: good settings of {role} {}", settings.name);
+    Ok(())
+}
+
 async fn run(matches: &ArgMatches) -> Result<(), String> {
-    let settings = read(matches)?;
-    logs::start(LevelFilter::Info);
+    let settings = read(&path(matches))?;
+    logs::start(settings.log.level);
     match &settings.role {
         Role::Entry(role) => {
             let handle = entry::start(&settings, role).await.map_err(|error| error.to_string())?;
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -2,8 +2,14 @@
 
 use std::time::Duration;
 
-use ini::Ini;
 use lavendergauge_derive::value;
+use log::LevelFilter;
+
+use crate::settings_file;
+use crate::settings_file::Fault;
+use crate::settings_file::File;
+use crate::settings_key;
+use crate::settings_key::Reader;
 
 /// Settings of one process.
 #[value]
@@ -12,10 +18,35 @@
     pub name: String,
     /// Data centre that the process stands in.
     pub data_centre: String,
+    /// How callers and processes prove themselves.
+    pub access: Access,
+    /// What is logged.
+    pub log: Log,
     /// What the process does.
     pub role: Role,
 }
 
+/// How callers and processes prove themselves.
+#[value]
+#[derive(Default)]
+pub struct Access {
+    /// Secret by which the fleet's processes know one another; empty for none.
+    pub fleet_key: String,
+    /// SHA-256 of the first operator key's secret, in hexadecimal; empty for none.
+    pub bootstrap_hash: String,
+    /// Whether to run without keys while none is configured.
+    pub open: bool,
+}
+
+/// What is logged.
+#[value]
+pub struct Log {
+    /// Least level of the lines that are written.
+    pub level: LevelFilter,
+    /// Most lines a second.
+    pub lines_per_s: u64,
+}
+
 /// What a process does.
 #[value]
 pub enum Role {
@@ -65,17 +96,6 @@
     pub runtime_address: String,
 }
 
-/// Something wrong in a settings file.
-#[value]
-pub struct Fault {
-    /// Section that the key belongs to.
-    pub section: String,
-    /// The key.
-    pub key: String,
-    /// What is wrong and what would be right.
-    pub text: String,
-}
-
 /// Reads settings from the text of an INI file.
 ///
 /// # Errors
@@ -86,79 +106,113 @@
 /// assert!(settings::parse("[process]\nrole = cook\n").is_err());
 /// ```
 pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
-    let ini = Ini::load_from_str(text).map_err(|error| {
-        vec![Fault { section: String::new(), key: String::new(), text: error.to_string() }]
-    })?;
-    let mut reader = Reader { ini, faults: Vec::new() };
-    let name = reader.text("process", "name");
-    let data_centre = reader.text("process", "data_centre");
-    let role = match reader.text("process", "role").as_str() {
-        "entry" => Some(Role::Entry(reader.entry())),
-        "agent" => Some(Role::Agent(reader.agent())),
-        other => {
-            reader.fault("process", "role", format!("`{other}` is not `entry` or `agent`"));
-            None
-        }
+    let mut file = settings_file::read(text);
+    let role = match file.value("process", "role") {
+        Some("entry") => Some(Reader::Entry),
+        Some("agent") => Some(Reader::Agent),
+        _ => None,
     };
-    match role {
-        Some(role) if reader.faults.is_empty() => Ok(Settings { name, data_centre, role }),
-        _ => Err(reader.faults),
+    file.check(role);
+    check_access(&mut file, role);
+    if !file.faults.is_empty() {
+        file.faults.sort_by_key(|fault| fault.line);
+        return Err(file.faults);
     }
+    Ok(Settings {
+        name: text_of(&file, "process", "name"),
+        data_centre: text_of(&file, "process", "data_centre"),
+        access: Access {
+            fleet_key: text_of(&file, "process", "fleet_key"),
+            bootstrap_hash: text_of(&file, "entry", "bootstrap_key_hash"),
+            open: text_of(&file, "process", "open_access") == "yes",
+        },
+        log: Log {
+            level: text_of(&file, "log", "level").parse().unwrap_or(LevelFilter::Info),
+            lines_per_s: number(&file, "log", "lines_per_s"),
+        },
+        role: match role {
+            Some(Reader::Agent) => Role::Agent(agent(&file)),
+            _ => Role::Entry(entry(&file)),
+        },
+    })
 }
 
-struct Reader {
-    ini: Ini,
-    faults: Vec<Fault>,
+/// Writes a settings file that sets every key of a role to its default, each explained.
+///
+/// ```
+/// use lavendergauge_daemon::settings;
+/// use lavendergauge_daemon::settings_key::Reader;
+/// assert!(settings::explain(Reader::Entry).contains("#tick_ms = 100"));
+/// ```
+pub fn explain(role: Reader) -> String {
+    let mut text = String::new();
+    let mut section = "";
+    let keys = settings_key::KEYS.iter();
+    for key in keys.filter(|key| key.reader == Reader::Any || key.reader == role) {
+        if key.section != section {
+            section = key.section;
+            let gap = if text.is_empty() { "" } else { "\n" };
+            text.push_str(&format!("{gap}[{section}]\n"));
+        }
+        text.push_str(&format!("# {}: {}\n", key.text, key.kind.wanted()));
+        match key.default {
+            None => text.push_str(&format!("{} =\n", key.name)),
+            Some(default) => text.push_str(&format!("#{} = {default}\n", key.name)),
+        }
+    }
+    text
 }
 
-impl Reader {
-    fn fault(&mut self, section: &str, key: &str, text: String) {
-        self.faults.push(Fault { section: section.to_owned(), key: key.to_owned(), text });
+/// A process without keys must be told to run so.
+fn check_access(file: &mut File, role: Option<Reader>) {
+    if file.value("process", "open_access") == Some("yes") {
+        return;
     }
-
-    fn text(&mut self, section: &str, key: &str) -> String {
-        match self.ini.get_from(Some(section), key) {
-            Some(text) if !text.is_empty() => text.to_owned(),
-            _ => {
-                self.fault(section, key, "is missing".to_owned());
-                String::new()
-            }
-        }
+    let wanted = "to set it, or `open_access = yes` in [process] for trials on one machine";
+    if file.value("process", "fleet_key").is_none() {
+        file.fault("process", "fleet_key", "is missing", wanted);
     }
-
-    fn number<T: std::str::FromStr + Default>(&mut self, section: &str, key: &str) -> T {
-        let text = self.text(section, key);
-        text.parse().unwrap_or_else(|_| {
-            if !text.is_empty() {
-                self.fault(section, key, format!("`{text}` is not a number in range"));
-            }
-            T::default()
-        })
+    if role == Some(Reader::Entry) && file.value("entry", "bootstrap_key_hash").is_none() {
+        file.fault("entry", "bootstrap_key_hash", "is missing", wanted);
     }
+}
 
-    fn entry(&mut self) -> Entry {
-        Entry {
-            service_address: self.text("entry", "service_address"),
-            control_address: self.text("entry", "control_address"),
-            store_address: self.text("store", "address"),
-            tick: Duration::from_millis(self.number("entry", "tick_ms")),
-        }
+/// Returns a key's value or default.
+fn text_of(file: &File, section: &str, name: &str) -> String {
+    let default = settings_key::find(section, name).and_then(|key| key.default);
+    file.value(section, name).or(default).unwrap_or_default().to_owned()
+}
+
+fn number<T: std::str::FromStr + Default>(file: &File, section: &str, name: &str) -> T {
+    text_of(file, section, name).parse().unwrap_or_default()
+}
+
+fn millis(file: &File, section: &str, name: &str) -> Duration {
+    Duration::from_millis(number(file, section, name))
+}
+
+fn entry(file: &File) -> Entry {
+    Entry {
+        service_address: text_of(file, "entry", "service_address"),
+        control_address: text_of(file, "entry", "control_address"),
+        store_address: text_of(file, "store", "address"),
+        tick: millis(file, "entry", "tick_ms"),
     }
+}
 
-    fn agent(&mut self) -> Agent {
-        let entries = self.text("agent", "entries");
-        Agent {
-            address: self.text("agent", "address"),
-            entries: entries.split(',').map(|entry| entry.trim().to_owned()).collect(),
-            announce: Duration::from_millis(self.number("agent", "announce_ms")),
-            rack: self.text("worker", "rack"),
-            accelerators: self.number("worker", "accelerators"),
-            processors: self.number("worker", "processors"),
-            memory_mb: self.number("worker", "memory_mb"),
-            target_address: self.text("target", "address"),
-            slots: self.number("target", "slots"),
-            connections: self.number("target", "connections"),
-            runtime_address: self.text("runtime", "address"),
-        }
+fn agent(file: &File) -> Agent {
+    let entries = text_of(file, "agent", "entries");
+    Agent {
+        address: text_of(file, "agent", "address"),
+        entries: entries.split(',').map(|entry| entry.trim().to_owned()).collect(),
+        announce: millis(file, "agent", "announce_ms"),
+        rack: text_of(file, "worker", "rack"),
+        accelerators: number(file, "worker", "accelerators"),
+        processors: number(file, "worker", "processors"),
+        memory_mb: number(file, "worker", "memory_mb"),
+        target_address: text_of(file, "target", "address"),
+        slots: number(file, "target", "slots"),
+        connections: number(file, "target", "connections"),
+        runtime_address: text_of(file, "runtime", "address"),
     }
 }
--- /dev/null
+++ b/daemon/src/settings_file.rs
@@ -0,0 +1,260 @@
+//! An INI file with the line of each key, checked against the table of keys.
+
+use std::fmt;
+
+use ini::Ini;
+use lavendergauge_derive::value;
+
+use crate::settings_key;
+use crate::settings_key::KEYS;
+use crate::settings_key::Key;
+use crate::settings_key::Reader;
+
+/// Something wrong in a settings file.
+#[value]
+pub struct Fault {
+    /// Line in the file, from 1; 0 when the fault has no line.
+    pub line: usize,
+    /// Section that the key belongs to; empty when the fault is outside any.
+    pub section: String,
+    /// The key; empty when the fault is about no key.
+    pub key: String,
+    /// What is wrong.
+    pub text: String,
+    /// What would be right; empty when there is nothing to say.
+    pub wanted: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            0 => f.write_str(" ")?,
+            line => write!(f, "{line}: ")?,
+        }
+        if !self.section.is_empty() {
+            write!(f, "[{}] ", self.section)?;
+        }
+        if !self.key.is_empty() {
+            write!(f, "{} ", self.key)?;
+        }
+        f.write_str(&self.text)?;
+        if !self.wanted.is_empty() {
+            write!(f, "; right is {}", self.wanted)?;
+        }
+        Ok(())
+    }
+}
+
+/// One key as it stands in a file.
+#[value]
+struct Entry {
+    line: usize,
+    section: String,
+    key: String,
+    value: String,
+}
+
+/// The keys of one file, and what is wrong with them.
+#[value]
+pub struct File {
+    entries: Vec<Entry>,
+    sections: Vec<(usize, String)>,
+    /// Every fault found so far.
+    pub faults: Vec<Fault>,
+}
+
+/// Reads the text of an INI file; what cannot be read becomes faults.
+///
+/// ```
+/// use lavendergauge_daemon::settings_file;
+/// let file = settings_file::read("[process]\nrole = entry\n");
+/// assert_eq!(file.value("process", "role"), Some("entry"));
+/// ```
+pub fn read(text: &str) -> File {
+    let mut file = File { entries: Vec::new(), sections: Vec::new(), faults: Vec::new() };
+    let lines: Vec<&str> = text.lines().collect();
+    let mut readable = lines.clone();
+    for (index, line) in readable.iter_mut().enumerate() {
+        if !is_readable(line.trim()) {
+            file.faults.push(unreadable(index + 1, "is no line of an INI file"));
+            *line = "";
+        }
+    }
+    match Ini::load_from_str(&readable.join("\n")) {
+        Ok(ini) => file.take(&ini, &readable),
+        Err(error) => file.faults.push(unreadable(error.line, &error.msg)),
+    }
+    file
+}
+
+/// Tells whether a line stands for itself; the INI library would read on into the next one.
+fn is_readable(line: &str) -> bool {
+    match line.chars().next() {
+        None | Some('#' | ';') => true,
+        Some('[') => line.ends_with(']'),
+        Some('=' | ':') => false,
+        Some(_) => line.contains(['=', ':']),
+    }
+}
+
+fn unreadable(line: usize, text: &str) -> Fault {
+    Fault {
+        line,
+        section: String::new(),
+        key: String::new(),
+        text: text.to_owned(),
+        wanted: "`[section]`, `key = value` or a comment after `#`".to_owned(),
+    }
+}
+
+impl File {
+    /// Takes in what the INI library read, and finds each key's line.
+    fn take(&mut self, ini: &Ini, lines: &[&str]) {
+        let mut section = String::new();
+        let mut places = Vec::new();
+        for (index, line) in lines.iter().enumerate() {
+            let line = line.trim();
+            if let Some(name) = line.strip_prefix('[') {
+                section = name.split(']').next().unwrap_or_default().trim().to_owned();
+                self.sections.push((index + 1, section.clone()));
+            } else if let Some(end) = line.find(['=', ':'])
+                && !line.starts_with(['#', ';'])
+            {
+                places.push((index + 1, section.clone(), line[..end].trim().to_owned()));
+            }
+        }
+        for (section, properties) in ini {
+            for (key, value) in properties {
+                let section = section.unwrap_or_default();
+                let place = places.iter().position(|(_, s, k)| s == section && k == key);
+                let line = place.map_or(0, |place| places.remove(place).0);
+                let (section, key) = (section.to_owned(), key.to_owned());
+                self.entries.push(Entry { line, section, key, value: value.trim().to_owned() });
+            }
+        }
+        self.entries.sort_by_key(|entry| entry.line);
+    }
+
+    /// Returns the value of a key, if the file sets it to something.
+    pub fn value(&self, section: &str, key: &str) -> Option<&str> {
+        self.find(section, key).map(|entry| entry.value.as_str())
+    }
+
+    fn find(&self, section: &str, key: &str) -> Option<&Entry> {
+        self.entries
+            .iter()
+            .find(|entry| entry.section == section && entry.key == key && !entry.value.is_empty())
+    }
+
+    /// Checks every key against the table, for the processes of one role.
+    pub fn check(&mut self, role: Option<Reader>) {
+        self.check_sections();
+        let mut faults = Vec::new();
+        for (index, entry) in self.entries.iter().enumerate() {
+            let repeated = self.entries[..index]
+                .iter()
+                .find(|other| other.section == entry.section && other.key == entry.key);
+            if let Some(first) = repeated {
+                faults.push(entry.fault(format!("is set before, on line {}", first.line), ""));
+            }
+            let section_known = KEYS.iter().any(|key| key.section == entry.section);
+            match settings_key::find(&entry.section, &entry.key) {
+                None if section_known => {
+                    faults.push(entry.fault("is no key", &keys_of(&entry.section)));
+                }
+                None => {}
+                Some(key) => faults.extend(entry.check(key, role)),
+            }
+        }
+        self.faults.append(&mut faults);
+        self.check_missing(role);
+    }
+
+    fn check_sections(&mut self) {
+        for (line, section) in &self.sections {
+            if KEYS.iter().any(|key| key.section == *section) {
+                continue;
+            }
+            self.faults.push(Fault {
+                line: *line,
+                section: section.clone(),
+                key: String::new(),
+                text: "is no section".to_owned(),
+                wanted: format!("one of {}", section_names().join(", ")),
+            });
+        }
+        for entry in self.entries.iter().filter(|entry| entry.section.is_empty()) {
+            self.faults
+                .push(entry.fault("stands before any section", "a line such as `[process]`"));
+        }
+    }
+
+    fn check_missing(&mut self, role: Option<Reader>) {
+        let reads = |key: &Key| key.reader == Reader::Any || Some(key.reader) == role;
+        for key in KEYS.iter().filter(|key| key.default.is_none() && reads(key)) {
+            if self.find(key.section, key.name).is_some() {
+                continue;
+            }
+            let empty = self.entries.iter().find(|e| e.section == key.section && e.key == key.name);
+            let section = self.sections.iter().find(|(_, name)| name == key.section);
+            self.faults.push(Fault {
+                line: empty.map(|entry| entry.line).or(section.map(|found| found.0)).unwrap_or(0),
+                section: key.section.to_owned(),
+                key: key.name.to_owned(),
+                text: "is missing".to_owned(),
+                wanted: format!("{}: {}", key.kind.wanted(), key.text),
+            });
+        }
+    }
+
+    /// Adds a fault about a key, at the key's line if the file has it.
+    pub fn fault(&mut self, section: &str, key: &str, text: &str, wanted: &str) {
+        let line = self.find(section, key).map_or(0, |entry| entry.line);
+        self.faults.push(Fault {
+            line,
+            section: section.to_owned(),
+            key: key.to_owned(),
+            text: text.to_owned(),
+            wanted: wanted.to_owned(),
+        });
+    }
+}
+
+impl Entry {
+    fn fault(&self, text: impl Into<String>, wanted: &str) -> Fault {
+        Fault {
+            line: self.line,
+            section: self.section.clone(),
+            key: self.key.clone(),
+            text: text.into(),
+            wanted: wanted.to_owned(),
+        }
+    }
+
+    fn check(&self, key: &Key, role: Option<Reader>) -> Option<Fault> {
+        let foreign = key.reader != Reader::Any && role.is_some_and(|role| role != key.reader);
+        if foreign {
+            let text = format!("is not read by this role, but by {:?}", key.reader);
+            return Some(self.fault(text.to_lowercase(), "to leave it out"));
+        }
+        if self.value.is_empty() || key.kind.allows(&self.value) {
+            return None;
+        }
+        // A secret that does not pass must not appear on a terminal or in a log.
+        let secret = key.kind == settings_key::Kind::Secret;
+        let shown = if secret { "the value".to_owned() } else { format!("`{}`", self.value) };
+        Some(self.fault(format!("cannot be {shown}"), &key.kind.wanted()))
+    }
+}
+
+fn section_names() -> Vec<&'static str> {
+    let mut names: Vec<&str> = KEYS.iter().map(|key| key.section).collect();
+    names.dedup();
+    names
+}
+
+fn keys_of(section: &str) -> String {
+    let names: Vec<&str> =
+        KEYS.iter().filter(|key| key.section == section).map(|key| key.name).collect();
+    format!("one of {}", names.join(", "))
+}
