gang: launches, leases and records as machines that stay true under faults

The gate answered a conflicting prepare with done, let a late renewal or go revive a lapsed member, armed without a permit, forgot a stop that came before its prepare, and gave accelerators back before the runtime had stopped.

The gate now expires before it obeys, keeps a hold until the member is known to be over, remembers stops of members never seen, and bounds its fences in time. New pure modules: launch (prepare, stake, arm, go or undo), gang_lease (a lease that grows only while all members are heard), gang_watch (end or breakage of a running gang) and life (which change may follow which state of a record).

Before: gang_gate, 6 of 6 tests failed. After: all pass; gang_launch holds over 3,000 drawn schedules of lost, late, doubled and crossed messages, restarts and closed permits, and fails when a doubt is called early or a launch withdrawn late.

--- a/lib/src/gang.rs
+++ b/lib/src/gang.rs
@@ -16,6 +16,17 @@
 use crate::name::Name;
 use crate::shape::Accelerators;
 
+/// Time after which an unused hold ends by itself.
+pub const HOLD: Duration = Duration::from_secs(5);
+/// Validity of a gang lease from the start, until every member is known to run.
+pub const START_LEASE: Duration = Duration::from_secs(4);
+/// Validity of a gang lease from the oldest of its members' newest announcements.
+pub const GANG_LEASE: Duration = Duration::from_secs(8);
+/// Longest lease that an agent asks of its worker runtime.
+pub const RUNTIME_LEASE: Duration = Duration::from_secs(2);
+/// Time for which an agent refuses the attempts before one that it has forgotten.
+const FENCE: Duration = Duration::from_secs(600);
+
 /// What the planner tells an agent to do with one member.
 #[value]
 pub enum Step {
@@ -138,6 +149,10 @@
     pub phase: Phase,
     /// What it holds.
     pub hold: Hold,
+    /// When its hold, lease or notice ends.
+    pub until: Millis,
+    /// Whether the worker runtime was ever asked to start it.
+    pub started: bool,
 }
 
 /// What one worker has to give.
@@ -152,12 +167,19 @@
     pub memory_mb: u64,
 }
 
+/// The lowest attempt of a job that is not refused.
+#[token]
+struct Fence {
+    attempt: u32,
+    since: Millis,
+}
+
 /// The only giver of one worker's accelerators.
 #[derive(Default)]
 pub struct Gate {
     capacity: Capacity,
     epoch: u64,
-    attempts: HashMap<Name, u32>,
+    fences: HashMap<Name, Fence>,
     members: HashMap<Slot, StateMachine<Member>>,
 }
 
@@ -207,34 +229,119 @@
             return (Verdict::StaleEpoch, Vec::new());
         }
         self.epoch = command.epoch;
-        let newest = self.attempts.get(&command.job).copied().unwrap_or(0);
+        let newest = self.fences.get(&command.job).map_or(0, |fence| fence.attempt);
         if command.attempt < newest {
             return (Verdict::StaleAttempt, Vec::new());
         }
         let slot =
             Slot { job: command.job.clone(), attempt: command.attempt, member: command.member };
-        match &command.step {
+        // What has lapsed is over before a late command can revive it.
+        let mut effects = self.lapse(now, &slot);
+        let (verdict, more) = self.carry_out(now, slot, &command.step, open);
+        effects.extend(more);
+        (verdict, effects)
+    }
+
+    fn carry_out(
+        &mut self,
+        now: Millis,
+        slot: Slot,
+        step: &Step,
+        open: bool,
+    ) -> (Verdict, Vec<Effect>) {
+        match step {
             Step::Prepare { hold, lasts } => {
-                (self.prepare(slot, hold, now + *lasts, open), Vec::new())
+                (self.prepare(now, slot, hold, now + *lasts, open), Vec::new())
             }
+            Step::Arm | Step::Go { .. } if !open => (Verdict::NoPermit, Vec::new()),
             Step::Arm => self.advance(&slot, &Event::Arm, &[Phase::Armed, Phase::Running]),
-            Step::Go { .. } if !open => (Verdict::NoPermit, Vec::new()),
             Step::Go { lease } => self.advance(&slot, &Event::Go(now + *lease), &[Phase::Running]),
             Step::Renew { lease } => {
                 self.advance(&slot, &Event::Renew(now + *lease), &[Phase::Running])
             }
-            Step::Stop { notice } => {
-                self.attempts.insert(slot.job.clone(), slot.attempt);
-                let stopped = [Phase::Stopping, Phase::Ended];
-                self.advance(&slot, &Event::Stop(now + *notice), &stopped)
-            }
+            Step::Stop { notice } => self.stop(now, slot, now + *notice),
+        }
+    }
+
+    fn lapse(&mut self, now: Millis, slot: &Slot) -> Vec<Effect> {
+        let Some(member) = self.members.get_mut(slot) else { return Vec::new() };
+        let mut step = None;
+        member.handle_with_context(&Event::Tick(now), &mut step);
+        step.map(|step| effect(slot, step)).into_iter().collect()
+    }
+
+    /// Stops a member; one never seen is remembered as ended, so that it can never start.
+    fn stop(&mut self, now: Millis, slot: Slot, until: Millis) -> (Verdict, Vec<Effect>) {
+        self.fence(now, &slot.job, slot.attempt);
+        let member = self
+            .members
+            .entry(slot.clone())
+            .or_insert_with(|| Member::new(Hold::default(), now).state_machine());
+        let mut step = None;
+        member.handle_with_context(&Event::Stop { now, until }, &mut step);
+        (Verdict::Done, step.map(|step| effect(&slot, step)).into_iter().collect())
+    }
+
+    /// Tells whether the worker runtime was ever asked to start a member.
+    ///
+    /// ```
+    /// use lavendergauge_lib::gang::{Gate, Slot};
+    /// assert!(!Gate::default().started(&Slot { job: "j".into(), attempt: 1, member: 0 }));
+    /// ```
+    pub fn started(&self, slot: &Slot) -> bool {
+        self.members.get(slot).is_some_and(|member| member.started())
+    }
+
+    /// Takes in that a member's checkpoint is taken, which ends its notice.
+    ///
+    /// ```
+    /// use lavendergauge_lib::clock::Millis;
+    /// use lavendergauge_lib::gang::{Gate, Slot};
+    /// let slot = Slot { job: "j".into(), attempt: 1, member: 0 };
+    /// assert!(Gate::default().saved(Millis(0), &slot).is_empty());
+    /// ```
+    pub fn saved(&mut self, now: Millis, slot: &Slot) -> Vec<Effect> {
+        let Some(member) = self.members.get_mut(slot) else { return Vec::new() };
+        let mut step = None;
+        member.handle_with_context(&Event::Saved(now), &mut step);
+        step.map(|step| effect(slot, step)).into_iter().collect()
+    }
+
+    /// Extends a member's lease until a time, unless it has lapsed.
+    ///
+    /// ```
+    /// use lavendergauge_lib::clock::Millis;
+    /// use lavendergauge_lib::gang::{Gate, Slot};
+    /// let slot = Slot { job: "j".into(), attempt: 1, member: 0 };
+    /// assert!(Gate::default().renew(Millis(0), &slot, Millis(10)).is_empty());
+    /// ```
+    pub fn renew(&mut self, now: Millis, slot: &Slot, until: Millis) -> Vec<Effect> {
+        let effects = self.lapse(now, slot);
+        if let Some(member) = self.members.get_mut(slot) {
+            member.handle_with_context(&Event::Renew(until), &mut None);
         }
+        effects
+    }
+
+    fn fence(&mut self, now: Millis, job: &Name, attempt: u32) {
+        let known = self.fences.get(job).map_or(0, |fence| fence.attempt);
+        self.fences.insert(job.clone(), Fence { attempt: known.max(attempt), since: now });
     }
 
-    fn prepare(&mut self, slot: Slot, hold: &Hold, until: Millis, open: bool) -> Verdict {
+    fn prepare(
+        &mut self,
+        now: Millis,
+        slot: Slot,
+        hold: &Hold,
+        until: Millis,
+        open: bool,
+    ) -> Verdict {
         if let Some(member) = self.members.get(&slot) {
-            let ended = member.state().phase() == Phase::Ended;
-            return if ended { Verdict::StaleAttempt } else { Verdict::Done };
+            return match member.state().phase() {
+                Phase::Ended => Verdict::StaleAttempt,
+                _ if member.hold() == hold => Verdict::Done,
+                _ => Verdict::Busy,
+            };
         }
         if !open {
             return Verdict::NoPermit;
@@ -242,7 +349,7 @@
         if !self.has_room(hold) {
             return Verdict::Busy;
         }
-        self.attempts.insert(slot.job.clone(), slot.attempt);
+        self.fence(now, &slot.job, slot.attempt);
         let member = Member::new(hold.clone(), until);
         self.members.insert(slot, member.state_machine());
         Verdict::Done
@@ -288,6 +395,10 @@
             member.handle_with_context(&Event::Tick(now), &mut step);
             effects.extend(step.map(|step| effect(slot, step)));
         }
+        let members = &self.members;
+        self.fences.retain(|job, fence| {
+            now.since(fence.since) < FENCE || members.keys().any(|slot| slot.job == *job)
+        });
         effects
     }
 
@@ -306,13 +417,17 @@
     /// Forgets an ended member, once its end is recorded; its attempt stays fenced.
     ///
     /// ```
+    /// use lavendergauge_lib::clock::Millis;
     /// use lavendergauge_lib::gang::{Gate, Slot};
-    /// Gate::default().forget(&Slot { job: "j".into(), attempt: 1, member: 0 });
+    /// let slot = Slot { job: "j".into(), attempt: 1, member: 0 };
+    /// Gate::default().forget(Millis(0), &slot);
     /// ```
-    pub fn forget(&mut self, slot: &Slot) {
-        self.members.retain(|known, member| known != slot || live(member));
-        let newest = self.attempts.entry(slot.job.clone()).or_default();
-        *newest = (*newest).max(slot.attempt + 1);
+    pub fn forget(&mut self, now: Millis, slot: &Slot) {
+        let ended = self.members.get(slot).is_some_and(|member| !live(member));
+        if ended {
+            self.members.remove(slot);
+            self.fence(now, &slot.job, slot.attempt + 1);
+        }
     }
 
     /// Returns where each member is.
@@ -327,6 +442,8 @@
                 slot: slot.clone(),
                 phase: member.state().phase(),
                 hold: member.hold().clone(),
+                until: member.until(),
+                started: member.started(),
             })
             .collect()
     }
--- a/lib/src/gang_member.rs
+++ b/lib/src/gang_member.rs
@@ -10,18 +10,30 @@
 use crate::clock::Millis;
 use crate::gang::Hold;
 use crate::gang::Phase;
+use crate::gang::RUNTIME_LEASE;
 
 /// One member at its worker.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Member {
     hold: Hold,
     until: Millis,
+    started: bool,
 }
 
 impl Member {
     /// Makes a member that is held until a time.
     pub(crate) fn new(hold: Hold, until: Millis) -> Self {
-        Member { hold, until }
+        Member { hold, until, started: false }
+    }
+
+    /// Returns when the hold, lease or notice ends.
+    pub(crate) fn until(&self) -> Millis {
+        self.until
+    }
+
+    /// Tells whether the worker runtime was ever asked to start the member.
+    pub(crate) fn started(&self) -> bool {
+        self.started
     }
 
     /// Returns what the member takes up.
@@ -50,8 +62,15 @@
     Go(Millis),
     /// The planner extends its lease.
     Renew(Millis),
-    /// The planner stops it at a time.
-    Stop(Millis),
+    /// The planner stops it, at the latest at a time.
+    Stop {
+        /// Now.
+        now: Millis,
+        /// When the notice ends.
+        until: Millis,
+    },
+    /// Its checkpoint is taken, so the rest of its notice is not needed.
+    Saved(Millis),
     /// Time has passed.
     Tick(Millis),
     /// The worker runtime says that it is over.
@@ -64,7 +83,7 @@
     fn held(&mut self, event: &Event) -> Outcome<State> {
         match event {
             Event::Arm => Transition(State::armed()),
-            Event::Stop(_) | Event::Exit => Transition(State::ended()),
+            Event::Stop { .. } | Event::Exit => Transition(State::ended()),
             Event::Tick(now) if self.until <= *now => Transition(State::ended()),
             _ => Handled,
         }
@@ -75,10 +94,11 @@
         match event {
             Event::Go(until) => {
                 self.until = *until;
+                self.started = true;
                 *context = Some(Move::Start);
                 Transition(State::running())
             }
-            Event::Stop(_) | Event::Exit => Transition(State::ended()),
+            Event::Stop { .. } | Event::Exit => Transition(State::ended()),
             Event::Tick(now) if self.until <= *now => Transition(State::ended()),
             _ => Handled,
         }
@@ -91,12 +111,13 @@
                 self.until = self.until.max(*until);
                 Handled
             }
-            Event::Stop(until) => {
+            Event::Stop { now, until } if now < until => {
                 self.until = *until;
                 *context = Some(Move::Checkpoint);
                 Transition(State::stopping())
             }
-            Event::Tick(now) if self.until <= *now => halt(context),
+            Event::Stop { now, .. } => self.halt(*now, context),
+            Event::Tick(now) if self.until <= *now => self.halt(*now, context),
             Event::Exit => Transition(State::ended()),
             _ => Handled,
         }
@@ -105,7 +126,23 @@
     #[state]
     fn stopping(&mut self, context: &mut Option<Move>, event: &Event) -> Outcome<State> {
         match event {
-            Event::Tick(now) if self.until <= *now => halt(context),
+            Event::Saved(now) => self.halt(*now, context),
+            Event::Stop { now, until } if until <= now => self.halt(*now, context),
+            Event::Stop { until, .. } => {
+                self.until = self.until.min(*until);
+                Handled
+            }
+            Event::Tick(now) if self.until <= *now => self.halt(*now, context),
+            Event::Exit => Transition(State::ended()),
+            _ => Handled,
+        }
+    }
+
+    /// The runtime was told to stop it; its accelerators are free once that is known or certain.
+    #[state]
+    fn halting(&mut self, event: &Event) -> Outcome<State> {
+        match event {
+            Event::Tick(now) if self.until <= *now => Transition(State::ended()),
             Event::Exit => Transition(State::ended()),
             _ => Handled,
         }
@@ -116,12 +153,13 @@
         let _ = event;
         Handled
     }
-}
 
-/// Stops a member now.
-fn halt(context: &mut Option<Move>) -> Outcome<State> {
-    *context = Some(Move::Stop);
-    Transition(State::ended())
+    /// Stops the member now; its runtime lease bounds how long that can take.
+    fn halt(&mut self, now: Millis, context: &mut Option<Move>) -> Outcome<State> {
+        self.until = now + RUNTIME_LEASE;
+        *context = Some(Move::Stop);
+        Transition(State::halting())
+    }
 }
 
 impl State {
@@ -131,7 +169,7 @@
             State::Held {} => Phase::Held,
             State::Armed {} => Phase::Armed,
             State::Running {} => Phase::Running,
-            State::Stopping {} => Phase::Stopping,
+            State::Stopping {} | State::Halting {} => Phase::Stopping,
             State::Ended {} => Phase::Ended,
         }
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,13 +4,17 @@
 //! its events as values and returns typed actions, so that every decision can
 //! be replayed from its inputs.
 
-pub mod backoff;
-pub mod budget;
 pub mod clock;
 pub mod fleet;
 pub mod gang;
+pub mod gang_lease;
 mod gang_member;
+pub mod gang_watch;
+mod gang_watch_state;
 pub mod key;
+pub mod launch;
+mod launch_state;
+pub mod life;
 pub mod name;
 pub mod permit;
 pub mod planner;
