duty: gangs outlive their planner, and a record is changed by its life alone

A launch that failed after some go was relaunched, a lost answer of the store counted as failure, all records were listed every 500 ms, a new planner ran running jobs anew when their workers had not announced yet, and only the planner renewed gang leases.

The duty now drives the pure machines: a launch ends as running, withdrawn or in doubt, and only an idempotent or checkpointed job runs again after a doubt; lost answers are resolved by reading the record; a keeper beside the duty renews the lease and reads the records that changed since a revision, in pages; any entry extends the leases of gangs that it hears whole; an inherited launch is adopted when it is whole and undone otherwise; ended records move out of the way. Jobs can be cancelled, and submitted again under the same identifier.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -1,6 +1,5 @@
 //! An agent: the only giver of its worker's accelerators and its target's slots.
 
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,7 +11,6 @@
 use hyper::body::Incoming;
 use lavendergauge_lib::gang;
 use lavendergauge_lib::gang::Capacity;
-use lavendergauge_lib::gang::Slot;
 use lavendergauge_lib::permit;
 use lavendergauge_lib::request;
 use lavendergauge_net::client::Client;
@@ -28,6 +26,7 @@
 use tokio::task::JoinHandle;
 use tokio::time;
 
+use crate::agent_report;
 use crate::agent_service;
 use crate::agent_task;
 use crate::clock;
@@ -48,12 +47,8 @@
     pub gang: gang::Gate,
     /// Giver of slots.
     pub requests: request::Gate,
-    /// What each held member was given to run.
-    pub payloads: HashMap<Slot, String>,
-    /// How each ended member ended.
-    pub ends: HashMap<Slot, agent_task::End>,
-    /// Newest checkpoint of each member.
-    pub checkpoints: HashMap<Slot, String>,
+    /// Gang members at the worker runtime.
+    pub tasks: agent_task::Tasks,
     /// Whether the worker takes no new work.
     pub leaving: bool,
     /// Number of the newest announcement.
@@ -132,9 +127,7 @@
             permit: permit::Gate::default(),
             gang: gang::Gate::new(capacity),
             requests: request::Gate::new(role.slots),
-            payloads: HashMap::new(),
-            ends: HashMap::new(),
-            checkpoints: HashMap::new(),
+            tasks: agent_task::Tasks::default(),
             leaving: false,
             sequence: 0,
         }),
@@ -163,8 +156,10 @@
                 agent.client.exchange(entry, "/internal/announce", &frame, ANNOUNCE_DEADLINE).await;
             match reply {
                 Ok(reply) => {
-                    let lasts = reply.permit.map(|permit| Duration::from_millis(permit.lasts_ms));
+                    let permit = reply.permit.as_ref();
+                    let lasts = permit.map(|permit| Duration::from_millis(permit.lasts_ms));
                     agent.core().permit.learn(sent, reply.revision, lasts);
+                    agent_report::take(&agent, sent, &reply);
                 }
                 Err(error) => log::warn!("event=announce-failed entry={entry} cause=\"{error}\""),
             }
@@ -195,6 +190,6 @@
         leaving: core.leaving,
         revision: core.permit.revision(),
         epoch: core.gang.epoch(),
-        tasks: agent_task::announced(&core),
+        tasks: agent_report::announced(&core),
     }
 }
--- /dev/null
+++ b/daemon/src/agent_command.rs
@@ -0,0 +1,117 @@
+//! Commands of the planner, as the agent takes them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Response;
+use lavendergauge_lib::gang;
+use lavendergauge_lib::gang::Effect;
+use lavendergauge_lib::gang::Hold;
+use lavendergauge_lib::gang::Slot;
+use lavendergauge_lib::name::Name;
+use lavendergauge_net::body;
+use lavendergauge_net::body::Body;
+use lavendergauge_wire::codec;
+use lavendergauge_wire::gang::Command;
+use lavendergauge_wire::gang::Reply;
+use lavendergauge_wire::gang::Step;
+use lavendergauge_wire::gang::Verdict;
+
+use crate::agent::Agent;
+use crate::agent_task;
+use crate::clock;
+use crate::problem;
+
+/// Carries out one command of the planner.
+pub async fn answer(agent: &Arc<Agent>, body: &Bytes) -> Response<Body> {
+    let command: Command = match codec::unpack(body) {
+        Ok(command) => command,
+        Err(error) => return problem::bad_input("body", error.to_string()),
+    };
+    let (reply, effects) = decide(agent, &command);
+    log::info!(
+        "event=command job={} attempt={} member={} epoch={} verdict={}",
+        command.job,
+        command.attempt,
+        command.member,
+        command.epoch,
+        reply.verdict
+    );
+    for effect in effects {
+        match effect {
+            Effect::Start(slot) => agent_task::start(agent, &slot).await,
+            other => agent_task::spawn(agent, other),
+        }
+    }
+    Response::new(body::full(codec::pack(&reply).unwrap_or_default()))
+}
+
+fn decide(agent: &Agent, command: &Command) -> (Reply, Vec<Effect>) {
+    let mut core = agent.core();
+    let now = clock::now();
+    let epoch = core.gang.epoch();
+    let refuse = |verdict| Reply { verdict, epoch, started: false, detail: String::new() };
+    if command.incarnation != agent.incarnation || command.worker != agent.name {
+        return (refuse(Verdict::WrongIncarnation), Vec::new());
+    }
+    let prepares = matches!(command.step, Step::Prepare { .. });
+    if core.leaving && prepares {
+        return (refuse(Verdict::Leaving), Vec::new());
+    }
+    if !core.tasks.swept && prepares {
+        return (refuse(Verdict::Busy), Vec::new());
+    }
+    let open = core.permit.is_open(now);
+    let inner = to_gang(command);
+    let slot = Slot { job: inner.job.clone(), attempt: inner.attempt, member: inner.member };
+    let (verdict, effects) = core.gang.command(now, &inner, open);
+    if let (Step::Prepare { payload, checkpoint, members, .. }, gang::Verdict::Done) =
+        (&command.step, verdict)
+    {
+        let task = core.tasks.known.entry(slot.clone()).or_default();
+        task.payload.clone_from(payload);
+        task.resume.clone_from(checkpoint);
+        task.members = *members;
+    }
+    let started = core.gang.started(&slot);
+    let verdict = to_wire(verdict);
+    (Reply { verdict, epoch: core.gang.epoch(), started, detail: String::new() }, effects)
+}
+
+fn to_wire(verdict: gang::Verdict) -> Verdict {
+    match verdict {
+        gang::Verdict::Done => Verdict::Done,
+        gang::Verdict::StaleEpoch => Verdict::StaleEpoch,
+        gang::Verdict::StaleAttempt => Verdict::StaleAttempt,
+        gang::Verdict::Busy => Verdict::Busy,
+        gang::Verdict::NoPermit => Verdict::NoPermit,
+        gang::Verdict::Leaving => Verdict::Leaving,
+        gang::Verdict::UnknownTask => Verdict::UnknownTask,
+    }
+}
+
+fn to_gang(command: &Command) -> gang::Command {
+    let millis = Duration::from_millis;
+    let step = match &command.step {
+        Step::Prepare { accelerators, processors, memory_mb, hold_ms, .. } => gang::Step::Prepare {
+            hold: Hold {
+                accelerators: accelerators.iter().copied().collect(),
+                processors: *processors,
+                memory_mb: *memory_mb,
+            },
+            lasts: millis(*hold_ms),
+        },
+        Step::Arm => gang::Step::Arm,
+        Step::Go { lease_ms } => gang::Step::Go { lease: millis(*lease_ms) },
+        Step::Renew { lease_ms } => gang::Step::Renew { lease: millis(*lease_ms) },
+        Step::Stop { notice_ms, .. } => gang::Step::Stop { notice: millis(*notice_ms) },
+    };
+    gang::Command {
+        epoch: command.epoch,
+        job: Name::from(&command.job),
+        attempt: command.attempt,
+        member: command.member,
+        step,
+    }
+}
--- a/daemon/src/agent_service.rs
+++ b/daemon/src/agent_service.rs
@@ -25,7 +25,7 @@
 use lavendergauge_wire::request::Ticket;
 
 use crate::agent::Agent;
-use crate::agent_task;
+use crate::agent_command;
 use crate::clock;
 use crate::problem;
 
@@ -45,7 +45,7 @@
         return refused(problem::bad_input("body", "cannot be read, or is longer than 4 MB"));
     };
     if head.uri.path() == "/internal/command" {
-        return agent_task::command(&agent, &body).await;
+        return agent_command::answer(&agent, &body).await;
     }
     let Some(ticket) = ticket(&head) else {
         return refused(problem::bad_input(TICKET_HEADER, "is missing or malformed"));
--- a/daemon/src/agent_task.rs
+++ b/daemon/src/agent_task.rs
@@ -1,38 +1,35 @@
-//! The agent's side of gang members: commands of the planner, and the worker runtime.
+//! The agent's side of gang members at the worker runtime.
+//!
+//! A member runs there under a short lease that never outlasts the gang's. A
+//! start whose answer was lost is repeated under the same identity, and a member
+//! counts as over only once the runtime says so or its lease has lapsed.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::Response;
 use lavendergauge_derive::value;
 use lavendergauge_lib::clock::Millis;
-use lavendergauge_lib::gang;
 use lavendergauge_lib::gang::Effect;
-use lavendergauge_lib::gang::Hold;
+use lavendergauge_lib::gang::Phase;
+use lavendergauge_lib::gang::RUNTIME_LEASE;
 use lavendergauge_lib::gang::Slot;
-use lavendergauge_lib::name::Name;
-use lavendergauge_net::body;
-use lavendergauge_net::body::Body;
-use lavendergauge_wire::announce;
-use lavendergauge_wire::codec;
-use lavendergauge_wire::gang::Command;
-use lavendergauge_wire::gang::Reply;
-use lavendergauge_wire::gang::Step;
-use lavendergauge_wire::gang::Verdict;
+use lavendergauge_lib::gang::Standing;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time;
 
 use crate::agent::Agent;
-use crate::agent::Core;
 use crate::clock;
-use crate::problem;
+use crate::runtime;
 use crate::runtime::State;
 
 /// Interval at which the agent looks after its members.
 const TICK: Duration = Duration::from_millis(100);
-/// Lease that the agent asks of the runtime, renewed each tick while the gang lease holds.
-const RUNTIME_LEASE: Duration = Duration::from_millis(2000);
+/// Interval at which a member's lease at the runtime is renewed.
+const RENEW_EVERY: Duration = Duration::from_millis(400);
+/// Time after which a call to the runtime that gave no answer is repeated.
+const REPEAT: Duration = Duration::from_millis(1000);
 
 /// How a member ended.
 #[value]
@@ -45,191 +42,251 @@
     Failed(String),
 }
 
-/// Carries out one command of the planner.
-pub async fn command(agent: &Arc<Agent>, body: &Bytes) -> Response<Body> {
-    let command: Command = match codec::unpack(body) {
-        Ok(command) => command,
-        Err(error) => return problem::bad_input("body", error.to_string()),
-    };
-    let (verdict, epoch, effects) = decide(agent, &command);
-    log::info!(
-        "event=command job={} attempt={} member={} epoch={} verdict={verdict:?}",
-        command.job,
-        command.attempt,
-        command.member,
-        command.epoch
-    );
-    for effect in effects {
-        carry_out(agent, effect).await;
-    }
-    let reply = Reply { verdict, epoch, detail: String::new() };
-    Response::new(body::full(codec::pack(&reply).unwrap_or_default()))
+/// What the agent keeps for one member.
+#[value]
+#[derive(Default)]
+pub struct Task {
+    /// What the runtime is given to run.
+    pub payload: String,
+    /// Reference of the checkpoint to resume from; empty for none.
+    pub resume: String,
+    /// Members of the gang.
+    pub members: u32,
+    /// How it ended.
+    pub end: Option<End>,
+    /// Reference of its newest checkpoint; empty for none.
+    pub checkpoint: String,
+    /// Whether the runtime has said that it runs.
+    confirmed: bool,
+    /// Whether it is to be stopped now.
+    halted: bool,
+    /// When the runtime was last asked to start or stop it.
+    asked: Millis,
+    /// When its lease at the runtime was last renewed, or asked for.
+    renewed: Millis,
 }
 
-fn decide(agent: &Agent, command: &Command) -> (Verdict, u64, Vec<Effect>) {
-    let now = clock::now();
-    let mut core = agent.core();
-    if command.incarnation != agent.incarnation || command.worker != agent.name {
-        return (Verdict::WrongIncarnation, core.gang.epoch(), Vec::new());
-    }
-    if core.leaving && matches!(command.step, Step::Prepare { .. }) {
-        return (Verdict::Leaving, core.gang.epoch(), Vec::new());
-    }
-    let open = core.permit.is_open(now);
-    let inner = to_gang(command);
-    let (verdict, effects) = core.gang.command(now, &inner, open);
-    if let (Step::Prepare { payload, .. }, gang::Verdict::Done) = (&command.step, verdict) {
-        core.payloads.insert(slot(&inner), payload.clone());
-    }
-    let verdict = match verdict {
-        gang::Verdict::Done => Verdict::Done,
-        gang::Verdict::StaleEpoch => Verdict::StaleEpoch,
-        gang::Verdict::StaleAttempt => Verdict::StaleAttempt,
-        gang::Verdict::Busy => Verdict::Busy,
-        gang::Verdict::NoPermit => Verdict::NoPermit,
-        gang::Verdict::Leaving => Verdict::Leaving,
-        gang::Verdict::UnknownTask => Verdict::UnknownTask,
-    };
-    (verdict, core.gang.epoch(), effects)
-}
-
-fn slot(command: &gang::Command) -> Slot {
-    Slot { job: command.job.clone(), attempt: command.attempt, member: command.member }
-}
-
-fn to_gang(command: &Command) -> gang::Command {
-    let millis = Duration::from_millis;
-    let step = match &command.step {
-        Step::Prepare { accelerators, processors, memory_mb, hold_ms, .. } => gang::Step::Prepare {
-            hold: Hold {
-                accelerators: accelerators.iter().copied().collect(),
-                processors: *processors,
-                memory_mb: *memory_mb,
-            },
-            lasts: millis(*hold_ms),
-        },
-        Step::Arm => gang::Step::Arm,
-        Step::Go { lease_ms } => gang::Step::Go { lease: millis(*lease_ms) },
-        Step::Renew { lease_ms } => gang::Step::Renew { lease: millis(*lease_ms) },
-        Step::Stop { notice_ms, .. } => gang::Step::Stop { notice: millis(*notice_ms) },
-    };
-    gang::Command {
-        epoch: command.epoch,
-        job: Name::from(&command.job),
-        attempt: command.attempt,
-        member: command.member,
-        step,
-    }
+/// The members that the agent looks after.
+#[derive(Debug, Default)]
+pub struct Tasks {
+    /// What is kept for each member.
+    pub known: HashMap<Slot, Task>,
+    /// Whether the runtime is free of what an earlier process of the agent left running.
+    pub swept: bool,
 }
 
 /// Returns a member's identity at the runtime.
-fn task_id(slot: &Slot) -> String {
+pub fn task_id(slot: &Slot) -> String {
     format!("{}/{}/{}", slot.job, slot.attempt, slot.member)
 }
 
-async fn carry_out(agent: &Agent, effect: Effect) {
-    match effect {
-        Effect::Start(slot) => {
-            let payload = agent.core().payloads.get(&slot).cloned().unwrap_or_default();
-            let started = agent.runtime.start(&task_id(&slot), &payload, RUNTIME_LEASE).await;
-            if let Err(error) = started {
-                log::warn!("event=start-failed task={} cause=\"{error}\"", task_id(&slot));
-                let mut core = agent.core();
-                core.ends.insert(slot.clone(), End::Failed(error.to_string()));
-                core.gang.exit(&slot);
-            }
+/// Carries out an effect in the background.
+pub fn spawn(agent: &Arc<Agent>, effect: Effect) {
+    let agent = agent.clone();
+    tokio::spawn(async move {
+        match effect {
+            Effect::Start(slot) => start(&agent, &slot).await,
+            Effect::Checkpoint(slot) => checkpoint(&agent, &slot).await,
+            Effect::Stop(slot) => stop(&agent, &slot).await,
         }
-        Effect::Checkpoint(slot) => {
-            if let Ok(checkpoint) = agent.runtime.checkpoint(&task_id(&slot)).await {
-                agent.core().checkpoints.insert(slot, checkpoint);
-            }
+    });
+}
+
+/// Returns what is left of the lease that a member may have at the runtime.
+fn lease(agent: &Agent, slot: &Slot, now: Millis) -> Option<Duration> {
+    let core = agent.core();
+    let standing = core.gang.standings().into_iter().find(|standing| standing.slot == *slot)?;
+    let live = matches!(standing.phase, Phase::Running | Phase::Stopping);
+    let left = standing.until.since(now).min(RUNTIME_LEASE);
+    (live && !left.is_zero()).then_some(left)
+}
+
+fn update(agent: &Agent, slot: &Slot, change: impl FnOnce(&mut Task)) {
+    change(agent.core().tasks.known.entry(slot.clone()).or_default());
+}
+
+fn end(agent: &Agent, slot: &Slot, how: End) {
+    log::info!("event=task-ended task={} end=\"{how:?}\"", task_id(slot));
+    let mut core = agent.core();
+    core.tasks.known.entry(slot.clone()).or_default().end.get_or_insert(how);
+    core.gang.exit(slot);
+}
+
+/// Asks the runtime to start a member, unless its lease has lapsed meanwhile.
+pub async fn start(agent: &Agent, slot: &Slot) {
+    let now = clock::now();
+    let Some(lease) = lease(agent, slot, now) else { return };
+    let (payload, resume) = {
+        let mut core = agent.core();
+        let task = core.tasks.known.entry(slot.clone()).or_default();
+        (task.asked, task.renewed) = (now, now);
+        (task.payload.clone(), task.resume.clone())
+    };
+    match agent.runtime.start(&task_id(slot), &payload, &resume, lease).await {
+        Ok(()) => update(agent, slot, |task| task.confirmed = true),
+        Err(runtime::Error::Status(status)) => {
+            end(agent, slot, End::Failed(format!("the worker runtime refused with {status}")));
+        }
+        Err(error) => {
+            log::warn!("event=start-unknown task={} cause=\"{error}\"", task_id(slot));
         }
-        Effect::Stop(slot) => {
-            if let Err(error) = agent.runtime.stop(&task_id(&slot)).await {
-                log::warn!("event=stop-failed task={} cause=\"{error}\"", task_id(&slot));
+    }
+}
+
+async fn checkpoint(agent: &Arc<Agent>, slot: &Slot) {
+    match agent.runtime.checkpoint(&task_id(slot)).await {
+        Ok(reference) => {
+            update(agent, slot, |task| task.checkpoint = reference);
+            let effects = agent.core().gang.saved(clock::now(), slot);
+            for effect in effects {
+                spawn(agent, effect);
             }
-            agent.core().ends.entry(slot).or_insert(End::Stopped);
         }
+        Err(error) => log::warn!("event=checkpoint-failed task={} {error}", task_id(slot)),
+    }
+}
+
+/// Asks the runtime to stop a member; its end is taken in when the runtime lists it.
+async fn stop(agent: &Agent, slot: &Slot) {
+    update(agent, slot, |task| {
+        task.halted = true;
+        task.asked = clock::now();
+    });
+    if let Err(error) = agent.runtime.stop(&task_id(slot)).await {
+        log::warn!("event=stop-unknown task={} cause=\"{error}\"", task_id(slot));
     }
 }
 
 /// Looks after the members until the agent stops.
 pub async fn run(agent: Arc<Agent>, stopped: watch::Receiver<bool>) {
+    sweep(&agent).await;
     while !*stopped.borrow() {
-        let effects = agent.core().gang.tick(clock::now());
+        let now = clock::now();
+        let effects = agent.core().gang.tick(now);
         for effect in effects {
-            carry_out(&agent, effect).await;
+            spawn(&agent, effect);
+        }
+        agent.core().requests.tick(now);
+        follow(&agent).await;
+        time::sleep(TICK).await;
+    }
+}
+
+/// Stops what an earlier process of the agent left running, or outwaits its leases.
+async fn sweep(agent: &Agent) {
+    let begun = clock::now();
+    while clock::now().since(begun) < RUNTIME_LEASE {
+        if stop_all(agent).await.is_ok() {
+            break;
         }
-        follow(&agent, clock::now()).await;
         time::sleep(TICK).await;
     }
+    agent.core().tasks.swept = true;
 }
 
-/// Renews running members at the runtime and takes in those that ended.
-async fn follow(agent: &Agent, now: Millis) {
-    let running: Vec<Slot> = agent
-        .core()
-        .gang
-        .standings()
-        .into_iter()
-        .filter(|standing| matches!(standing.phase, gang::Phase::Running | gang::Phase::Stopping))
-        .map(|standing| standing.slot)
-        .collect();
-    agent.core().requests.tick(now);
-    if running.is_empty() {
+async fn stop_all(agent: &Agent) -> Result<(), runtime::Error> {
+    for task in agent.runtime.tasks().await? {
+        if task.state == State::Running {
+            log::warn!("event=task-swept task={}", task.id);
+            agent.runtime.stop(&task.id).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Compares the members that were started with what the runtime lists.
+async fn follow(agent: &Arc<Agent>) {
+    let live = |standing: &Standing| {
+        standing.started && matches!(standing.phase, Phase::Running | Phase::Stopping)
+    };
+    let standings: Vec<Standing> = agent.core().gang.standings().into_iter().filter(live).collect();
+    if standings.is_empty() {
         return;
     }
-    let Ok(tasks) = agent.runtime.tasks().await else { return };
-    for slot in running {
-        let id = task_id(&slot);
-        let Some(task) = tasks.iter().find(|task| task.id == id) else { continue };
-        let end = match &task.state {
-            State::Running => {
-                let _ = agent.runtime.renew(&id, RUNTIME_LEASE).await;
-                continue;
+    let asked = clock::now();
+    let listed = agent.runtime.tasks().await;
+    let mut renewals = JoinSet::new();
+    for standing in standings {
+        let found = match &listed {
+            Ok(tasks) => {
+                let id = task_id(&standing.slot);
+                Some(tasks.iter().find(|task| task.id == id))
             }
-            State::Done => End::Done,
-            State::Over(reason) if reason == "stopped" => End::Stopped,
-            State::Over(reason) => End::Failed(reason.clone()),
+            Err(_) => None,
         };
-        let mut core = agent.core();
-        core.ends.insert(slot.clone(), end);
-        core.gang.exit(&slot);
+        if let Some(call) = look(agent, &standing.slot, found, asked) {
+            let agent = agent.clone();
+            renewals.spawn(async move { carry_out(&agent, &standing.slot, call).await });
+        }
+    }
+    while renewals.join_next().await.is_some() {}
+}
+
+/// A call to the runtime that a look at a member asks for.
+enum Call {
+    Renew,
+    Start,
+    Stop,
+}
+
+/// Takes in what the runtime says of a member; `None` in `found` means that it gave no answer.
+fn look(
+    agent: &Agent,
+    slot: &Slot,
+    found: Option<Option<&runtime::Task>>,
+    asked: Millis,
+) -> Option<Call> {
+    let now = clock::now();
+    let task = agent.core().tasks.known.get(slot).cloned().unwrap_or_default();
+    let due = REPEAT <= now.since(task.asked);
+    match found {
+        None if task.confirmed && RUNTIME_LEASE < now.since(task.renewed) => {
+            end(agent, slot, End::Stopped);
+            None
+        }
+        None => None,
+        Some(Some(listed)) => {
+            if !listed.checkpoint.is_empty() {
+                update(agent, slot, |task| task.checkpoint = listed.checkpoint.clone());
+            }
+            match &listed.state {
+                State::Running if task.halted => due.then_some(Call::Stop),
+                State::Running => {
+                    update(agent, slot, |task| task.confirmed = true);
+                    (RENEW_EVERY <= now.since(task.renewed)).then_some(Call::Renew)
+                }
+                State::Done => {
+                    end(agent, slot, End::Done);
+                    None
+                }
+                State::Over(reason) => {
+                    let lapsed = reason == "stopped" || reason == "lapsed";
+                    let how = if lapsed { End::Stopped } else { End::Failed(reason.clone()) };
+                    end(agent, slot, how);
+                    None
+                }
+            }
+        }
+        // The list may be older than the start.
+        Some(None) if asked <= task.asked => None,
+        Some(None) if task.confirmed || task.halted => {
+            end(agent, slot, End::Stopped);
+            None
+        }
+        Some(None) => due.then_some(Call::Start),
     }
 }
 
-/// Returns the members as the agent announces them.
-pub fn announced(core: &Core) -> Vec<announce::Task> {
-    core.gang
-        .standings()
-        .into_iter()
-        .map(|standing| {
-            let end = core.ends.get(&standing.slot);
-            let phase = match (standing.phase, end) {
-                (gang::Phase::Held, _) => announce::Phase::Held,
-                (gang::Phase::Armed, _) => announce::Phase::Armed,
-                (gang::Phase::Running, _) => announce::Phase::Running,
-                (gang::Phase::Stopping, _) => announce::Phase::Stopping,
-                (gang::Phase::Ended, Some(End::Done)) => announce::Phase::Done,
-                (gang::Phase::Ended, Some(End::Failed(_))) => announce::Phase::Failed,
-                (gang::Phase::Ended, _) => announce::Phase::Stopped,
-            };
-            let result = match end {
-                Some(End::Failed(reason)) => reason.clone(),
-                Some(End::Done) => format!("result-of-{}", task_id(&standing.slot)),
-                _ => String::new(),
-            };
-            announce::Task {
-                job: standing.slot.job.to_string(),
-                attempt: standing.slot.attempt,
-                member: standing.slot.member,
-                phase,
-                accelerators: standing.hold.accelerators.to_vec(),
-                processors: standing.hold.processors,
-                memory_mb: standing.hold.memory_mb,
-                result,
-                checkpoint: core.checkpoints.get(&standing.slot).cloned().unwrap_or_default(),
+async fn carry_out(agent: &Agent, slot: &Slot, call: Call) {
+    match call {
+        Call::Start => start(agent, slot).await,
+        Call::Stop => stop(agent, slot).await,
+        Call::Renew => {
+            let now = clock::now();
+            let Some(lease) = lease(agent, slot, now) else { return };
+            if agent.runtime.renew(&task_id(slot), lease).await.is_ok() {
+                update(agent, slot, |task| task.renewed = now);
             }
-        })
-        .collect()
+        }
+    }
 }
--- /dev/null
+++ b/daemon/src/duty_book.rs
@@ -0,0 +1,106 @@
+//! The planner's copy of the job records, and how a record enters the planner.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use lavendergauge_lib::name::Name;
+use lavendergauge_lib::planner::Submission;
+use lavendergauge_lib::shape;
+use lavendergauge_lib::shape::Seat;
+use lavendergauge_lib::shape::Seats;
+use lavendergauge_lib::shape::Shape;
+use lavendergauge_lib::table::Class;
+use lavendergauge_wire::job;
+use lavendergauge_wire::job::Record;
+use lavendergauge_wire::job::State;
+
+use crate::record;
+
+/// The newest known record of each job that lives or has just ended.
+#[derive(Debug, Default)]
+pub struct Book {
+    records: HashMap<Name, (Record, i64)>,
+    /// Jobs that the planner has been told of.
+    pub planned: HashSet<Name>,
+    /// Whether all records have been read once.
+    pub complete: bool,
+}
+
+impl Book {
+    /// Takes in a record; an older one than is known changes nothing.
+    pub fn put(&mut self, record: Record, version: i64) {
+        let name = Name::from(&record.id);
+        if self.records.get(&name).is_none_or(|(_, known)| *known < version) {
+            self.records.insert(name, (record, version));
+        }
+    }
+
+    /// Returns a job's record.
+    pub fn find(&self, job: &Name) -> Option<&Record> {
+        self.records.get(job).map(|(record, _)| record)
+    }
+
+    /// Returns all records.
+    pub fn iter(&self) -> impl Iterator<Item = (&Name, &Record)> {
+        self.records.iter().map(|(name, (record, _))| (name, record))
+    }
+
+    /// Forgets the jobs that are over and that the planner no longer knows.
+    pub fn shrink(&mut self) {
+        let planned = &self.planned;
+        self.records.retain(|name, (record, _)| {
+            planned.contains(name) || !record::from_wire(record.state).is_over()
+        });
+    }
+
+    /// Tells whether the end of an attempt is on record.
+    pub fn is_settled(&self, job: &Name, attempt: u32) -> bool {
+        let Some(record) = self.find(job) else { return self.complete };
+        record::from_wire(record.state).is_over()
+            || attempt < record.attempt
+            || (attempt == record.attempt && record.state == State::Waiting)
+    }
+}
+
+/// Returns the seats of a record's newest attempt.
+pub fn seats(record: &Record) -> Seats {
+    let seats = record.seats.iter();
+    seats
+        .map(|seat| Seat {
+            worker: Name::from(&seat.worker),
+            accelerators: seat.accelerators.iter().copied().collect(),
+        })
+        .collect()
+}
+
+/// Turns a record into what the planner takes in; `seats` are those of a live attempt.
+pub fn submission(record: &Record, seats: Seats) -> Submission {
+    let spec = &record.spec;
+    Submission {
+        job: Name::from(&record.id),
+        account: Name::from(&spec.account),
+        shape: Shape {
+            members: spec.members,
+            accelerators: spec.accelerators,
+            processors: spec.processors,
+            memory_mb: spec.memory_mb,
+            adjacency: match spec.adjacency {
+                job::Adjacency::Worker => shape::Adjacency::Worker,
+                job::Adjacency::Rack => shape::Adjacency::Rack,
+                job::Adjacency::DataCentre => shape::Adjacency::DataCentre,
+            },
+        },
+        class: match spec.class {
+            job::Class::Urgent => Class::Urgent,
+            job::Class::Ordinary => Class::Ordinary,
+            job::Class::Patient => Class::Patient,
+        },
+        guarantee: (!spec.guarantee.is_empty()).then(|| Name::from(&spec.guarantee)),
+        data_centres: spec.data_centres.iter().map(Name::from).collect(),
+        checkpoints: spec.checkpoints,
+        idempotent: spec.idempotent,
+        declared_s: spec.declared_s,
+        attempt: record.attempt,
+        seats,
+    }
+}
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -1,5 +1,6 @@
 //! An entry: takes callers' requests and operators' changes, and may hold the planner's duty.
 
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,6 +11,8 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use lavendergauge_lib::clock::Millis;
+use lavendergauge_lib::gang_lease;
+use lavendergauge_lib::name::Name;
 use lavendergauge_net::client::Client;
 use lavendergauge_net::server;
 use lavendergauge_net::server::Answer;
@@ -52,6 +55,10 @@
     pub confirmed: Option<Millis>,
     /// The agents that announce themselves here.
     pub members: member::Table,
+    /// The gangs whose members announce themselves here.
+    pub gangs: gang_lease::Table,
+    /// Attempts whose end is on record, so that agents may forget their members.
+    pub settled: HashSet<(Name, u32)>,
     /// Planner epoch that this entry holds, or 0.
     pub epoch: u64,
     /// Source of random choices.
@@ -148,6 +155,8 @@
             version: 0,
             confirmed: None,
             members: member::Table::default(),
+            gangs: gang_lease::Table::default(),
+            settled: HashSet::new(),
             epoch: 0,
             rng: SmallRng::from_rng(&mut rand::rng()),
         }),
--- a/daemon/src/entry_control.rs
+++ b/daemon/src/entry_control.rs
@@ -10,31 +10,38 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
+use lavendergauge_lib::clock::Millis;
+use lavendergauge_lib::gang::Slot;
+use lavendergauge_lib::gang_lease::Vital;
+use lavendergauge_lib::name::Name;
 use lavendergauge_lib::permit;
 use lavendergauge_net::body;
 use lavendergauge_net::body::Body;
 use lavendergauge_wire::VERSION;
 use lavendergauge_wire::announce::Frame;
 use lavendergauge_wire::announce::Permit;
+use lavendergauge_wire::announce::Phase;
+use lavendergauge_wire::announce::Renewal;
 use lavendergauge_wire::announce::Reply;
 use lavendergauge_wire::codec;
 use lavendergauge_wire::config::Change;
 use lavendergauge_wire::job::Record;
 use lavendergauge_wire::job::Spec;
-use lavendergauge_wire::job::State;
 use serde::Serialize;
 use serde_json::json;
 
 use crate::clock;
 use crate::config;
 use crate::entry::CONFIG_KEY;
+use crate::entry::Core;
 use crate::entry::Entry;
+use crate::job;
+use crate::job::Submitted;
 use crate::problem;
+use crate::record::JOBS_PREFIX;
 use crate::store;
 use crate::store::Swap;
 
-/// Prefix of job records in the store.
-pub const JOBS_PREFIX: &str = "jobs/";
 /// Most bytes of a request to the administration API.
 const REQUEST_LIMIT: usize = 1 << 20;
 
@@ -54,6 +61,7 @@
         (&Method::POST, ["v1", "jobs"]) => submit(&entry, &body).await,
         (&Method::GET, ["v1", "jobs"]) => list_jobs(&entry).await,
         (&Method::GET, ["v1", "jobs", id]) => show_job(&entry, id).await,
+        (&Method::DELETE, ["v1", "jobs", id]) => cancel_job(&entry, id).await,
         _ => problem::not_run(StatusCode::NOT_FOUND, "not found", "there is no such resource"),
     }
 }
@@ -85,13 +93,40 @@
         revision: core.document.revision,
         permit,
         entries: vec![entry.control_address.clone()],
+        renewals: Vec::new(),
         settled: Vec::new(),
     };
+    let reply = gang_words(&mut core, now, &frame, reply);
     core.members.announce(now, frame);
     drop(core);
     Response::new(body::full(codec::pack(&reply).unwrap_or_default()))
 }
 
+/// Takes in the gang members of an announcement, and extends the leases of whole gangs.
+fn gang_words(core: &mut Core, now: Millis, frame: &Frame, mut reply: Reply) -> Reply {
+    for task in &frame.tasks {
+        let slot = Slot { job: Name::from(&task.job), attempt: task.attempt, member: task.member };
+        let vital = match task.phase {
+            Phase::Running | Phase::Done => Vital::Good,
+            _ => Vital::Bad,
+        };
+        core.gangs.see(now, &slot, task.members, vital);
+        let running = task.phase == Phase::Running;
+        if let Some(left) = core.gangs.left(now, &slot).filter(|_| running) {
+            reply.renewals.push(Renewal {
+                job: task.job.clone(),
+                attempt: task.attempt,
+                member: task.member,
+                lasts_ms: left.as_millis() as u64,
+            });
+        }
+        if core.settled.contains(&(slot.job, slot.attempt)) {
+            reply.settled.push(format!("{}/{}/{}", task.job, task.attempt, task.member));
+        }
+    }
+    reply
+}
+
 async fn change(entry: &Entry, body: &Bytes) -> Response<Body> {
     let change: Change = match codec::from_json(body) {
         Ok(change) => change,
@@ -155,29 +190,26 @@
         let text = format!("there is no client account `{}`", spec.account);
         return problem::bad_input("account", text);
     }
-    let record = Record {
-        id: format!("{:016x}", rand::random::<u64>()),
-        spec,
-        state: State::Waiting,
-        attempt: 0,
-        seats: Vec::new(),
-        submitted_ms: clock::wall_ms(),
-        started_ms: 0,
-        ended_ms: 0,
-        checkpoint: String::new(),
-        result: String::new(),
-        reason: String::new(),
-    };
-    let bytes = codec::to_json(&record).unwrap_or_default();
-    match entry.store.swap(&format!("{JOBS_PREFIX}{}", record.id), 0, &bytes, 0).await {
-        Ok(Swap::Done(_)) => json_answer(&record),
-        Ok(Swap::Lost(_)) => {
+    let id = format!("{:016x}", rand::random::<u64>());
+    match job::submit(entry, &id, spec).await {
+        Ok(Submitted::Accepted(record) | Submitted::Known(record)) => json_answer(&record),
+        Ok(Submitted::Taken) => {
             problem::not_run(StatusCode::CONFLICT, "job exists", "the identifier is taken")
         }
         Err(error) => unknown(&error),
     }
 }
 
+async fn cancel_job(entry: &Entry, id: &str) -> Response<Body> {
+    match job::cancel(entry, id).await {
+        Ok(Some(record)) => json_answer(&record),
+        Ok(None) => {
+            problem::not_run(StatusCode::NOT_FOUND, "not found", format!("there is no job `{id}`"))
+        }
+        Err(error) => unknown(&error),
+    }
+}
+
 async fn list_jobs(entry: &Entry) -> Response<Body> {
     match entry.store.list(JOBS_PREFIX).await {
         Ok(items) => {
@@ -190,8 +222,8 @@
 }
 
 async fn show_job(entry: &Entry, id: &str) -> Response<Body> {
-    match entry.store.load(&format!("{JOBS_PREFIX}{id}")).await {
-        Ok(Some(item)) => Response::new(body::full(item.value)),
+    match job::find(entry, id).await {
+        Ok(Some(record)) => json_answer(&record),
         Ok(None) => {
             problem::not_run(StatusCode::NOT_FOUND, "not found", format!("there is no job `{id}`"))
         }
--- a/daemon/src/runtime.rs
+++ b/daemon/src/runtime.rs
@@ -67,13 +67,22 @@
         Runtime { address, client: Client::default() }
     }
 
-    /// Starts a task under a lease.
+    /// Starts a task under a lease, from a checkpoint if `resume` names one.
+    ///
+    /// A second start of the same task changes nothing.
     ///
     /// # Errors
     /// When the runtime refuses, or gives no answer; the task may then have started.
-    pub async fn start(&self, task: &str, payload: &str, lease: Duration) -> Result<(), Error> {
+    pub async fn start(
+        &self,
+        task: &str,
+        payload: &str,
+        resume: &str,
+        lease: Duration,
+    ) -> Result<(), Error> {
         let lease_ms = lease.as_millis() as u64;
-        let request = json!({"task": task, "payload": payload, "lease_ms": lease_ms});
+        let request = json!({"task": task, "payload": payload, "checkpoint": resume,
+            "lease_ms": lease_ms});
         self.call(Method::POST, "/v1/start", &request).await?;
         Ok(())
     }
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -2,6 +2,5 @@
 
 pub mod http;
 pub mod kv;
-mod kv_watch;
 pub mod runtime;
 pub mod target;
