--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod body;
 pub mod client;
 pub mod server;
+pub mod tls;
--- a/net/src/server.rs
+++ b/net/src/server.rs
@@ -15,16 +15,22 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto::Builder;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time;
 
 use crate::body::Body;
+use crate::tls::Acceptor;
 
 /// Time that a client has to send a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time that a client has for the TLS handshake.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Most header lines of a request.
 const HEADER_LIMIT: usize = 64;
 /// Most bytes buffered for a request's head.
@@ -38,12 +44,23 @@
 /// A function that answers one request from one peer.
 pub type Handler = Arc<dyn Fn(Request<Incoming>, SocketAddr) -> Answer + Send + Sync>;
 
+/// Serves connections without TLS; see [`serve_tls`].
+pub async fn serve(
+    listener: TcpListener,
+    handler: Handler,
+    limit: usize,
+    stop: watch::Receiver<bool>,
+) {
+    serve_tls(listener, None, handler, limit, stop).await;
+}
+
 /// Serves connections until `stop` turns true, then finishes every request in flight.
 ///
-/// At most `limit` connections are open at a time; further peers wait in the listen queue.
-/// Returns when the last connection is closed.
-pub async fn serve(
+/// With an acceptor, peers have to speak TLS. At most `limit` connections are open at a time;
+/// further peers wait in the listen queue. Returns when the last connection is closed.
+pub async fn serve_tls(
     listener: TcpListener,
+    acceptor: Option<Acceptor>,
     handler: Handler,
     limit: usize,
     mut stop: watch::Receiver<bool>,
@@ -63,13 +80,14 @@
         };
         let Ok((stream, peer)) = accepted else {
             log::warn!("event=accept-failed");
-            tokio::time::sleep(ACCEPT_PAUSE).await;
+            time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let handler = handler.clone();
         let stop = stop.clone();
+        let acceptor = acceptor.clone();
         connections.spawn(async move {
-            connection(stream, peer, handler, stop).await;
+            greet(stream, acceptor, peer, handler, stop).await;
             drop(place);
         });
     }
@@ -77,14 +95,34 @@
     while connections.join_next().await.is_some() {}
 }
 
-/// Serves one connection to its end.
-async fn connection(
+/// Serves one connection, after the TLS handshake if there is an acceptor.
+async fn greet(
     stream: TcpStream,
+    acceptor: Option<Acceptor>,
     peer: SocketAddr,
     handler: Handler,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
+    let Some(acceptor) = acceptor else {
+        return connection(stream, peer, handler, stop).await;
+    };
+    match time::timeout(HANDSHAKE_TIMEOUT, acceptor.accept(stream)).await {
+        Ok(Ok(stream)) => connection(stream, peer, handler, stop).await,
+        Ok(Err(error)) => log::info!("event=handshake-failed peer={peer} cause=\"{error}\""),
+        Err(_) => log::info!("event=handshake-failed peer={peer} cause=timeout"),
+    }
+}
+
+/// Serves one connection to its end.
+async fn connection<S>(
+    stream: S,
+    peer: SocketAddr,
+    handler: Handler,
+    mut stop: watch::Receiver<bool>,
+) where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
     let service = service_fn(move |request| {
         let answer = handler(request, peer);
         async move { Ok::<_, Infallible>(answer.await) }
