--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -27,4 +27,8 @@
 pub mod settings_file;
 pub mod settings_key;
 pub mod store;
+mod store_gateway;
+mod store_read;
+mod store_sure;
+pub mod store_watch;
 pub mod tour;
--- /dev/null
+++ b/daemon/tests/store_sure.rs
@@ -0,0 +1,79 @@
+//! A write whose answer is lost still has a true outcome.
+
+use std::time::Duration;
+
+use lavendergauge_daemon::store::Error;
+use lavendergauge_daemon::store::Item;
+use lavendergauge_daemon::store::Store;
+use lavendergauge_daemon::store::Swap;
+use lavendergauge_fakes::kv::Fault;
+use lavendergauge_fakes::kv::Kv;
+
+fn is(text: &'static str) -> impl Fn(&Item) -> bool {
+    move |item| item.value.as_ref() == text.as_bytes()
+}
+
+#[tokio::test]
+async fn answer_lost() {
+    let kv = Kv::default();
+    let server = kv.serve().await;
+    let store = Store::new(server.address());
+    kv.set_fault(Fault { lose_answers: 2, ..Fault::default() });
+    let outcome = store.swap_sure("k", 0, b"mine", 0, is("mine")).await.expect("found out");
+    assert_eq!(outcome, Swap::Done(1));
+    let item = store.load("k").await.expect("read").expect("written");
+    assert_eq!((item.value.as_ref(), item.version), (b"mine".as_slice(), 1));
+}
+
+#[tokio::test]
+async fn other_won() {
+    let kv = Kv::default();
+    let server = kv.serve().await;
+    let store = Store::new(server.address());
+    store.swap("k", 0, b"theirs", 0).await.expect("written");
+    kv.set_fault(Fault { lose_answers: 1, ..Fault::default() });
+    let outcome = store.swap_sure("k", 0, b"mine", 0, is("mine")).await.expect("found out");
+    assert!(matches!(outcome, Swap::Lost(Some(item)) if item.value.as_ref() == b"theirs"));
+}
+
+#[tokio::test]
+async fn overwritten_since() {
+    let kv = Kv::default();
+    let server = kv.serve().await;
+    let store = Store::new(server.address());
+    kv.set_fault(Fault { lose_answers: 1, ..Fault::default() });
+    let writer = store.clone();
+    let own = |item: &Item| item.value.starts_with(b"mine");
+    let mine = tokio::spawn(async move { writer.swap_sure("k", 0, b"mine", 0, own).await });
+    while kv.revision() == 0 {
+        tokio::task::yield_now().await;
+    }
+    let other = Store::new(server.address());
+    other.swap("k", 1, b"mine, then theirs", 0).await.expect("written");
+    assert_eq!(mine.await.expect("joined").expect("found out"), Swap::Done(2));
+}
+
+#[tokio::test]
+async fn never_sent() {
+    let kv = Kv::default();
+    let address = kv.serve().await.address();
+    let store = Store::new(address);
+    let outcome = store.swap_sure("k", 0, b"mine", 0, is("mine")).await;
+    assert!(outcome.is_err_and(|error| error.never_sent()));
+}
+
+#[tokio::test]
+async fn stays_in_doubt() {
+    let kv = Kv::default();
+    let server = kv.serve().await;
+    let store = Store::new(server.address());
+    kv.set_fault(Fault { lose_answers: 1, ..Fault::default() });
+    let writer = store.clone();
+    let write = tokio::spawn(async move { writer.swap_sure("k", 0, b"mine", 0, is("mine")).await });
+    while kv.revision() == 0 {
+        tokio::task::yield_now().await;
+    }
+    kv.set_fault(Fault { down: true, ..Fault::default() });
+    let outcome = tokio::time::timeout(Duration::from_secs(8), write).await.expect("bounded");
+    assert!(matches!(outcome.expect("joined"), Err(Error::InDoubt(_))));
+}
--- a/fakes/src/kv.rs
+++ b/fakes/src/kv.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -14,26 +15,35 @@
 use lavendergauge_net::body::Body;
 use serde_json::Value;
 use serde_json::json;
+use tokio::sync::Notify;
 use tokio::time;
 use tokio::time::Instant;
 
 use crate::http;
 use crate::http::Call;
 use crate::http::Server;
+use crate::kv_watch;
+
+/// Most changes that a watch can start back from.
+const LOG_LIMIT: usize = 10_000;
 
 /// Faults that a test can switch on.
 #[derive(Clone, Debug, Default)]
 pub struct Fault {
-    /// Answers nothing but errors.
+    /// Answers nothing but errors, and ends every watch.
     pub down: bool,
-    /// Waits before each answer.
+    /// Waits before each call is carried out.
     pub delay: Duration,
+    /// Waits after each call is carried out, before its answer.
+    pub delay_answers: Duration,
     /// Number of writes that take effect and whose answers are then lost.
     pub lose_answers: u32,
+    /// Watches stay open and say nothing.
+    pub stall_watches: bool,
 }
 
-#[derive(Clone, Debug)]
-struct Entry {
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Entry {
     value: Vec<u8>,
     created: i64,
     modified: i64,
@@ -41,14 +51,47 @@
     lease: i64,
 }
 
-#[derive(Debug, Default)]
-struct State {
+/// One change of one key; no entry when it was deleted.
+#[derive(Clone, Debug)]
+pub(crate) struct Event {
+    pub(crate) revision: i64,
+    pub(crate) key: Vec<u8>,
+    pub(crate) entry: Option<Entry>,
+}
+
+/// Contents at one moment, to be restored later.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
     revision: i64,
     entries: BTreeMap<Vec<u8>, Entry>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    pub(crate) revision: i64,
+    entries: BTreeMap<Vec<u8>, Entry>,
     leases: HashMap<i64, Lease>,
     next_lease: i64,
-    fault: Fault,
+    pub(crate) fault: Fault,
     calls: HashMap<String, u64>,
+    pub(crate) log: VecDeque<Event>,
+    /// First revision that a watch can start from.
+    pub(crate) compacted: i64,
+    /// Grows with each restored snapshot, which ends the watches before it.
+    pub(crate) restored: u64,
+    changed: Arc<Notify>,
+}
+
+impl State {
+    /// Keeps a change for the watches and wakes them.
+    fn record(&mut self, key: Vec<u8>, entry: Option<Entry>) {
+        if LOG_LIMIT <= self.log.len() {
+            self.log.pop_front();
+            self.compacted = self.log.front().map_or(0, |event| event.revision);
+        }
+        self.log.push_back(Event { revision: self.revision, key, entry });
+        self.changed.notify_waiters();
+    }
 }
 
 #[derive(Debug)]
@@ -76,7 +119,26 @@
 
     /// Replaces the faults.
     pub fn set_fault(&self, fault: Fault) {
-        self.lock().fault = fault;
+        let mut state = self.lock();
+        state.fault = fault;
+        state.changed.notify_waiters();
+    }
+
+    /// Returns the contents as they are now.
+    pub fn snapshot(&self) -> Snapshot {
+        let state = self.lock();
+        Snapshot { revision: state.revision, entries: state.entries.clone() }
+    }
+
+    /// Puts back the contents and the revision of an earlier moment, as a restored backup does.
+    pub fn restore(&self, snapshot: Snapshot) {
+        let mut state = self.lock();
+        state.revision = snapshot.revision;
+        state.entries = snapshot.entries;
+        state.leases.clear();
+        state.log.clear();
+        state.restored += 1;
+        state.changed.notify_waiters();
     }
 
     /// Ends a lease at once, with the keys bound to it.
@@ -93,7 +155,22 @@
         self.lock().calls.clone()
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    /// Returns the revision of the newest change.
+    pub fn revision(&self) -> i64 {
+        self.lock().revision
+    }
+
+    /// Forgets the changes before a revision, so that no watch can start from them.
+    pub fn compact(&self, revision: i64) {
+        self.lock().compacted = revision;
+    }
+
+    /// Returns what tells the watches of a change.
+    pub(crate) fn changed(&self) -> Arc<Notify> {
+        self.lock().changed.clone()
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
@@ -103,9 +180,21 @@
         if fault.down {
             return http::status(StatusCode::SERVICE_UNAVAILABLE);
         }
+        let answer = self.carry_out(&call);
+        if !fault.delay_answers.is_zero() {
+            time::sleep(fault.delay_answers).await;
+        }
+        answer
+    }
+
+    fn carry_out(&self, call: &Call) -> Response<Body> {
         let mut state = self.lock();
         *state.calls.entry(call.path.clone()).or_default() += 1;
         expire(&mut state);
+        if call.path == "/v3/watch" {
+            drop(state);
+            return kv_watch::open(self, &call.json());
+        }
         let before = state.revision;
         let answer = match call.path.as_str() {
             "/v3/kv/range" => range(&state, &call.json()),
@@ -126,7 +215,7 @@
     }
 }
 
-fn header(state: &State) -> Value {
+pub(crate) fn header(state: &State) -> Value {
     json!({"revision": state.revision.to_string()})
 }
 
@@ -143,24 +232,29 @@
     if state.leases.remove(&id).is_none() {
         return;
     }
-    let before = state.entries.len();
-    state.entries.retain(|_, entry| entry.lease != id);
-    if state.entries.len() < before {
+    let bound = |(_, entry): &(&Vec<u8>, &Entry)| entry.lease == id;
+    let keys: Vec<Vec<u8>> =
+        state.entries.iter().filter(bound).map(|(key, _)| key.clone()).collect();
+    if !keys.is_empty() {
         state.revision += 1;
     }
+    for key in keys {
+        state.entries.remove(&key);
+        state.record(key, None);
+    }
 }
 
 /// Reads a number that the gateway writes as a string.
-fn number(value: &Value) -> i64 {
+pub(crate) fn number(value: &Value) -> i64 {
     value.as_i64().or_else(|| value.as_str()?.parse().ok()).unwrap_or_default()
 }
 
 /// Reads bytes that the gateway writes in base64.
-fn octets(value: &Value) -> Vec<u8> {
+pub(crate) fn octets(value: &Value) -> Vec<u8> {
     value.as_str().and_then(|text| STANDARD.decode(text).ok()).unwrap_or_default()
 }
 
-fn entry_json(key: &[u8], entry: &Entry) -> Value {
+pub(crate) fn entry_json(key: &[u8], entry: &Entry) -> Value {
     json!({
         "key": STANDARD.encode(key),
         "value": STANDARD.encode(&entry.value),
@@ -215,6 +309,7 @@
         let key = octets(&operation["request_delete_range"]["key"]);
         if state.entries.remove(&key).is_some() {
             state.revision += 1;
+            state.record(key, None);
         }
         return json!({"response_delete_range": {"header": header(state)}});
     }
@@ -224,7 +319,7 @@
 fn store(state: &mut State, key: Vec<u8>, value: Vec<u8>, lease: i64) {
     state.revision += 1;
     let revision = state.revision;
-    let entry = state.entries.entry(key).or_insert(Entry {
+    let entry = state.entries.entry(key.clone()).or_insert(Entry {
         value: Vec::new(),
         created: revision,
         modified: 0,
@@ -235,6 +330,8 @@
     entry.modified = revision;
     entry.version += 1;
     entry.lease = lease;
+    let entry = entry.clone();
+    state.record(key, Some(entry));
 }
 
 fn grant(state: &mut State, request: &Value) -> Value {
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod http;
 pub mod kv;
+mod kv_watch;
 pub mod runtime;
 pub mod target;
--- /dev/null
+++ b/lib/src/budget.rs
@@ -0,0 +1,123 @@
+//! A process's share of the calls that the key-value service takes, with priorities.
+//!
+//! A token bucket in which each class of calls leaves a part of the bucket to the
+//! classes above it, so that a burst of claims cannot keep a configuration
+//! change or a lease from the service.
+
+use std::time::Duration;
+
+use lavendergauge_derive::row;
+use lavendergauge_derive::token;
+
+use crate::clock::Millis;
+
+/// What a call is for, lowest priority first.
+#[token]
+pub enum Class {
+    /// Anything else.
+    Rest,
+    /// Claims of one request or key.
+    Claim,
+    /// Job records.
+    Job,
+    /// Leases and what is bound to them.
+    Lease,
+    /// The operators' configuration.
+    Configuration,
+}
+
+impl Class {
+    /// Returns the class of a call about a key.
+    ///
+    /// ```
+    /// use lavendergauge_lib::budget::Class;
+    /// assert_eq!(Class::of("config/current"), Class::Configuration);
+    /// assert_eq!(Class::of("jobs/1"), Class::Job);
+    /// ```
+    pub fn of(key: &str) -> Class {
+        match key.split('/').next() {
+            Some("config") => Class::Configuration,
+            Some("planner" | "entries" | "epoch") => Class::Lease,
+            Some("jobs") => Class::Job,
+            Some("claims") => Class::Claim,
+            _ => Class::Rest,
+        }
+    }
+
+    /// Returns the name that metrics carry.
+    ///
+    /// ```
+    /// assert_eq!(lavendergauge_lib::budget::Class::Job.label(), "job");
+    /// ```
+    pub fn label(self) -> &'static str {
+        match self {
+            Class::Rest => "rest",
+            Class::Claim => "claim",
+            Class::Job => "job",
+            Class::Lease => "lease",
+            Class::Configuration => "configuration",
+        }
+    }
+
+    /// Percentage of the bucket that the class leaves to those above it.
+    fn floor_percent(self) -> f64 {
+        match self {
+            Class::Configuration => 0.0,
+            Class::Lease => 10.0,
+            Class::Job => 25.0,
+            Class::Claim => 40.0,
+            Class::Rest => 60.0,
+        }
+    }
+}
+
+/// A token bucket of calls.
+#[row]
+pub struct Budget {
+    per_second: f64,
+    burst: f64,
+    tokens: f64,
+    filled: Millis,
+}
+
+impl Budget {
+    /// Makes a full bucket that gains `per_second` calls a second, up to `burst`.
+    ///
+    /// ```
+    /// use lavendergauge_lib::budget::Budget;
+    /// use lavendergauge_lib::budget::Class;
+    /// use lavendergauge_lib::clock::Millis;
+    /// let mut budget = Budget::new(10, 20);
+    /// assert!(budget.take(Millis(0), Class::Rest).is_ok());
+    /// ```
+    pub fn new(per_second: u32, burst: u32) -> Self {
+        let burst = f64::from(burst);
+        Budget { per_second: f64::from(per_second), burst, tokens: burst, filled: Millis(0) }
+    }
+
+    /// Takes one call out of the bucket.
+    ///
+    /// # Errors
+    /// The time after which the class may ask again.
+    ///
+    /// ```
+    /// use lavendergauge_lib::budget::Budget;
+    /// use lavendergauge_lib::budget::Class;
+    /// use lavendergauge_lib::clock::Millis;
+    /// let mut budget = Budget::new(1, 2);
+    /// assert!(budget.take(Millis(0), Class::Configuration).is_ok());
+    /// assert!(budget.take(Millis(0), Class::Rest).is_err());
+    /// assert!(budget.take(Millis(0), Class::Configuration).is_ok());
+    /// ```
+    pub fn take(&mut self, now: Millis, class: Class) -> Result<(), Duration> {
+        let gained = now.since(self.filled).as_secs_f64() * self.per_second;
+        self.tokens = (self.tokens + gained).min(self.burst);
+        self.filled = self.filled.max(now);
+        let needed = self.burst * class.floor_percent() / 100.0 + 1.0;
+        if needed <= self.tokens {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        Err(Duration::from_secs_f64((needed - self.tokens) / self.per_second))
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,8 @@
 //! its events as values and returns typed actions, so that every decision can
 //! be replayed from its inputs.
 
+pub mod backoff;
+pub mod budget;
 pub mod clock;
 pub mod fleet;
 pub mod gang;
