--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -32,3 +32,4 @@
 mod store_sure;
 pub mod store_watch;
 pub mod tour;
+pub mod tour_measure;
