api: resources under /v1 with revisions, repeats and keys

Cause: the control address knew six calls without revisions; a repeated or malformed call was not told apart, and anybody could make it.

Change: one table of routes serves the calls and the OpenAPI document. Client accounts, guarantees, data centres and the configuration change under If-Match with a change identifier; jobs take their identifier from Idempotency-Key; lists come in pages. A planner of its own on a copy of the tables answers dry runs and explanations. Input is decoded strictly and checked by field before anything is written; a write whose answer is lost is read back.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -67,8 +67,12 @@
     pub incarnation: u64,
     /// Client of the worker runtime.
     pub runtime: Runtime,
-    /// Client towards entries and the target.
+    /// How entries prove themselves.
+    pub access: settings::Access,
+    /// Client towards entries, which shows the fleet's key.
     pub client: Client,
+    /// Client towards the target, which must not see the fleet's key.
+    pub target_client: Client,
     core: Mutex<Core>,
 }
 
@@ -122,7 +126,9 @@
         settings: settings::Agent { address: address.to_string(), ..role.clone() },
         incarnation: rand::random(),
         runtime: Runtime::new(role.runtime_address.clone()),
-        client: Client::default(),
+        access: settings.access.clone(),
+        client: Client::for_fleet(&settings.access.fleet_key),
+        target_client: Client::default(),
         core: Mutex::new(Core {
             permit: permit::Gate::default(),
             gang: gang::Gate::new(capacity),
--- a/daemon/src/agent_service.rs
+++ b/daemon/src/agent_service.rs
@@ -20,10 +20,12 @@
 use lavendergauge_lib::request::Standing;
 use lavendergauge_net::body;
 use lavendergauge_net::body::Body;
+use lavendergauge_net::client::FLEET_KEY_HEADER;
 use lavendergauge_wire::codec;
 use lavendergauge_wire::problem::Outcome;
 use lavendergauge_wire::request::Ticket;
 
+use crate::access;
 use crate::agent::Agent;
 use crate::agent_command;
 use crate::clock;
@@ -41,6 +43,9 @@
 /// Answers one request of an entry.
 pub async fn answer(agent: Arc<Agent>, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
+    if !access::is_fleet(&agent.access, &head.headers) {
+        return refused(problem::response(&access::foreign()));
+    }
     let Ok(body) = body::collect(body, REQUEST_LIMIT).await else {
         return refused(problem::bad_input("body", "cannot be read, or is longer than 4 MB"));
     };
@@ -121,14 +126,18 @@
         .map_err(|error| error.to_string())?;
     for (name, value) in &head.headers {
         let ours = name == TICKET_HEADER
+            || name == FLEET_KEY_HEADER
             || name == hyper::header::HOST
             || name == hyper::header::CONTENT_LENGTH;
         if !ours {
             request.headers_mut().append(name, value.clone());
         }
     }
-    let response =
-        agent.client.fetch(request, TARGET_DEADLINE).await.map_err(|error| error.to_string())?;
+    let response = agent
+        .target_client
+        .fetch(request, TARGET_DEADLINE)
+        .await
+        .map_err(|error| error.to_string())?;
     let headers = response
         .headers()
         .iter()
--- /dev/null
+++ b/daemon/src/api_data_centre.rs
@@ -0,0 +1,82 @@
+//! Data centres as resources.
+
+use lavendergauge_wire::announce::Frame;
+use lavendergauge_wire::api;
+use lavendergauge_wire::config::Document;
+use lavendergauge_wire::config::Operation;
+use lavendergauge_wire::config::Standing;
+use lavendergauge_wire::config::Zone;
+
+use crate::api as common;
+use crate::api::Call;
+use crate::api::Refusal;
+use crate::api::Reply;
+use crate::api_account;
+use crate::api_config;
+use crate::preview;
+
+/// Lists the data centres with what stands and runs there.
+pub fn list(call: &Call) -> Reply {
+    let (document, frames) = (call.entry.core().document.clone(), call.frames());
+    let mut centres: Vec<api::DataCentre> =
+        document.data_centres.iter().map(|zone| describe(zone, &frames)).collect();
+    centres.sort_by(|one, other| one.name.cmp(&other.name));
+    call.page(centres, |centre| &centre.name)
+}
+
+/// Shows one data centre.
+pub fn show(call: &Call) -> Reply {
+    let document = call.entry.core().document.clone();
+    let zone = find(&document, call.name(0))?;
+    call.at_revision(document.revision, &describe(zone, &call.frames()))
+}
+
+/// Creates a data centre, or takes it in or out.
+pub async fn put(call: &Call) -> Reply {
+    call.operator()?;
+    let zone: Zone = call.decode()?;
+    api_account::same_name(&zone.name, call.name(0))?;
+    api_config::submit(call, Operation::PutDataCentre { zone }).await
+}
+
+/// Removes a data centre.
+pub async fn remove(call: &Call) -> Reply {
+    call.operator()?;
+    let document = call.entry.core().document.clone();
+    let name = find(&document, call.name(0))?.name.clone();
+    if call.frames().iter().any(|frame| frame.data_centre == name) {
+        let text = format!("workers announce themselves from data centre `{name}`");
+        return Err(common::conflict("data centre in use", text));
+    }
+    api_config::submit(call, Operation::RemoveDataCentre { name }).await
+}
+
+fn find<'a>(document: &'a Document, name: &str) -> Result<&'a Zone, Refusal> {
+    let zone = document.data_centres.iter().find(|zone| zone.name == name);
+    zone.ok_or_else(|| common::missing("data centre", name))
+}
+
+fn describe(zone: &Zone, frames: &[Frame]) -> api::DataCentre {
+    let mut centre = api::DataCentre {
+        name: zone.name.clone(),
+        region: zone.region.clone(),
+        standing: match zone.standing {
+            Standing::In => api::Standing::In,
+            Standing::Out => api::Standing::Out,
+        },
+        workers: 0,
+        accelerators: 0,
+        free_accelerators: 0,
+        tasks: 0,
+        requests: 0,
+    };
+    for frame in frames.iter().filter(|frame| frame.data_centre == zone.name) {
+        let tasks = frame.tasks.iter().filter(|task| preview::holds(task.phase));
+        centre.workers += 1;
+        centre.accelerators += u32::from(frame.accelerators);
+        centre.free_accelerators += preview::free(frame) as u32;
+        centre.tasks += tasks.count() as u32;
+        centre.requests += frame.load.slots_used;
+    }
+    centre
+}
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -101,6 +101,11 @@
         Operation::RemoveDataCentre { name } => {
             document.data_centres.retain(|known| known.name != *name);
         }
+        Operation::PutOperator { key } => {
+            document.operators.retain(|known| known.id != key.id);
+            document.operators.push(key.clone());
+        }
+        Operation::RemoveOperator { name } => document.operators.retain(|key| key.id != *name),
         Operation::PutPolicy { policy } => document.policy = Some(policy.clone()),
         Operation::Replace { document: other } => {
             let revision = document.revision;
--- a/daemon/src/embedded.rs
+++ b/daemon/src/embedded.rs
@@ -82,6 +82,10 @@
     pub announce_ms: u64,
     /// Interval of the planner's ticks, in milliseconds.
     pub tick_ms: u64,
+    /// Secret of the fleet's processes; empty for a fleet that runs without keys.
+    pub fleet_key: String,
+    /// SHA-256 of the first operator key's secret; empty in a fleet without keys.
+    pub bootstrap_hash: String,
 }
 
 impl Default for Plan {
@@ -95,6 +99,8 @@
             slots: 8,
             announce_ms: 200,
             tick_ms: 100,
+            fleet_key: String::new(),
+            bootstrap_hash: String::new(),
         }
     }
 }
@@ -157,13 +163,22 @@
 /// ```
 pub fn entry_text(plan: &Plan, name: &str, data_centre: &str, store: &str) -> String {
     format!(
-        "[process]\nrole = entry\nname = {name}\ndata_centre = {data_centre}\nopen_access = yes\n\
+        "[process]\nrole = entry\nname = {name}\ndata_centre = {data_centre}\n{}\n\
          [entry]\nservice_address = 127.0.0.1:0\ncontrol_address = 127.0.0.1:0\n\
-         tick_ms = {}\n[store]\naddress = {store}\n",
+         bootstrap_key_hash = {}\ntick_ms = {}\n[store]\naddress = {store}\n",
+        access_text(plan),
+        plan.bootstrap_hash,
         plan.tick_ms
     )
 }
 
+fn access_text(plan: &Plan) -> String {
+    if plan.fleet_key.is_empty() {
+        return "open_access = yes".to_owned();
+    }
+    format!("fleet_key = {}", plan.fleet_key)
+}
+
 /// Writes the settings file of an agent on a free loopback port.
 ///
 /// ```
@@ -184,12 +199,13 @@
 /// ```
 pub fn agent_text(plan: &Plan, place: &Place) -> String {
     format!(
-        "[process]\nrole = agent\nname = {}\ndata_centre = {}\nopen_access = yes\n\
+        "[process]\nrole = agent\nname = {}\ndata_centre = {}\n{}\n\
          [agent]\naddress = 127.0.0.1:0\nentries = {}\nannounce_ms = {}\n\
          [worker]\nrack = {}\naccelerators = {}\nprocessors = 64\nmemory_mb = 131072\n\
          [target]\naddress = {}\nslots = {}\nconnections = 64\n[runtime]\naddress = {}\n",
         place.name,
         place.data_centre,
+        access_text(plan),
         place.entries.join(","),
         plan.announce_ms,
         place.rack,
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -71,6 +71,8 @@
     pub name: String,
     /// Address of the administration API.
     pub control_address: String,
+    /// How callers and processes prove themselves.
+    pub access: settings::Access,
     /// Client of the platform's key-value service.
     pub store: Store,
     /// Client towards agents and entries.
@@ -148,8 +150,9 @@
     let entry = Arc::new(Entry {
         name: settings.name.clone(),
         control_address: control_address.to_string(),
+        access: settings.access.clone(),
         store: Store::new(role.store_address.clone()),
-        client: Client::default(),
+        client: Client::for_fleet(&settings.access.fleet_key),
         core: Mutex::new(Core {
             document: config::empty(),
             version: 0,
--- a/daemon/src/entry_control.rs
+++ b/daemon/src/entry_control.rs
@@ -1,4 +1,4 @@
-//! The entry's administration API and the announcements of agents.
+//! What comes to an entry's control address: agents' announcements and operators' calls.
 
 use std::sync::Arc;
 
@@ -8,8 +8,6 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_TYPE;
-use hyper::header::HeaderValue;
 use lavendergauge_lib::clock::Millis;
 use lavendergauge_lib::gang::Slot;
 use lavendergauge_lib::gang_lease::Vital;
@@ -24,53 +22,79 @@
 use lavendergauge_wire::announce::Renewal;
 use lavendergauge_wire::announce::Reply;
 use lavendergauge_wire::codec;
-use lavendergauge_wire::config::Change;
-use lavendergauge_wire::job::Record;
-use lavendergauge_wire::job::Spec;
-use serde::Serialize;
 use serde_json::json;
 
+use crate::access;
+use crate::api;
+use crate::api::Call;
+use crate::api_route;
 use crate::clock;
 use crate::config;
-use crate::entry::CONFIG_KEY;
 use crate::entry::Core;
 use crate::entry::Entry;
-use crate::job;
-use crate::job::Submitted;
 use crate::problem;
-use crate::record::JOBS_PREFIX;
-use crate::store;
-use crate::store::Swap;
 
 /// Most bytes of a request to the administration API.
 const REQUEST_LIMIT: usize = 1 << 20;
 
 /// Answers one request to the control address.
 pub async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/health") => api::json(&json!({"health": "good"})),
+        (&Method::GET, "/ready") => ready(&entry),
+        (_, path) if path.starts_with("/internal/") => internal(&entry, request).await,
+        _ => {
+            let reply = operate(entry, request).await;
+            reply.unwrap_or_else(|detail| problem::response(&detail))
+        }
+    }
+}
+
+/// Tells the balancer whether the entry can take requests: it must know the configuration.
+fn ready(entry: &Entry) -> Response<Body> {
+    let core = entry.core();
+    if core.confirmed.is_some() {
+        return api::json(&json!({"ready": true, "revision": core.document.revision}));
+    }
+    let text = "the entry has not learnt the configuration yet";
+    problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "not ready", text)
+}
+
+/// Answers one call of an operator or caller; its key is looked at before its body is read.
+async fn operate(entry: Arc<Entry>, request: Request<Incoming>) -> api::Reply {
+    let (head, body) = request.into_parts();
+    let (route, names) = api_route::find(&head.method, head.uri.path())?;
+    let caller = {
+        let core = entry.core();
+        access::identify(&entry.access, &core.document, &head.headers, clock::wall_ms())?
+    };
+    let body = body::collect(body, REQUEST_LIMIT).await.map_err(|_| too_long())?;
+    let call = Call { entry, caller, head, body, names };
+    api_route::carry_out(&route.operation, &call).await
+}
+
+/// Answers one call of the fleet's own processes.
+async fn internal(entry: &Entry, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
+    if !access::is_fleet(&entry.access, &head.headers) {
+        return problem::response(&access::foreign());
+    }
     let Ok(body) = body::collect(body, REQUEST_LIMIT).await else {
-        return problem::bad_input("body", "cannot be read, or is longer than 1 MB");
+        return problem::response(&too_long());
     };
-    let path = head.uri.path().trim_matches('/').split('/').collect::<Vec<_>>();
-    match (&head.method, path.as_slice()) {
-        (&Method::GET, ["health"]) => json_answer(&json!({"health": "good"})),
-        (&Method::POST, ["internal", "announce"]) => announce(&entry, &body),
-        (&Method::GET, ["v1", "config"]) => json_answer(&entry.core().document),
-        (&Method::POST, ["v1", "config", "changes"]) => change(&entry, &body).await,
-        (&Method::GET, ["v1", "workers"]) => workers(&entry),
-        (&Method::POST, ["v1", "jobs"]) => submit(&entry, &body).await,
-        (&Method::GET, ["v1", "jobs"]) => list_jobs(&entry).await,
-        (&Method::GET, ["v1", "jobs", id]) => show_job(&entry, id).await,
-        (&Method::DELETE, ["v1", "jobs", id]) => cancel_job(&entry, id).await,
+    match head.uri.path() {
+        "/internal/announce" => announce(entry, &body),
         _ => problem::not_run(StatusCode::NOT_FOUND, "not found", "there is no such resource"),
     }
 }
 
-/// Makes an answer with a JSON body.
-pub fn json_answer<T: Serialize>(value: &T) -> Response<Body> {
-    let mut response = Response::new(body::full(codec::to_json(value).unwrap_or_default()));
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(codec::JSON));
-    response
+fn too_long() -> api::Refusal {
+    let text = "the body cannot be read, or is longer than 1 MB";
+    let status = StatusCode::PAYLOAD_TOO_LARGE;
+    let outcome = lavendergauge_wire::problem::Outcome::NotRun;
+    let mut detail = problem::detail(status, "bad input", outcome, text);
+    detail.field = "body".to_owned();
+    Box::new(detail)
 }
 
 fn announce(entry: &Entry, body: &Bytes) -> Response<Body> {
@@ -126,107 +150,3 @@
     }
     reply
 }
-
-async fn change(entry: &Entry, body: &Bytes) -> Response<Body> {
-    let change: Change = match codec::from_json(body) {
-        Ok(change) => change,
-        Err(error) => return problem::bad_input("body", error.to_string()),
-    };
-    let (document, version) = {
-        let core = entry.core();
-        (core.document.clone(), core.version)
-    };
-    if document.change == change.id {
-        return json_answer(&document);
-    }
-    let next = match config::apply(&document, &change, "operator") {
-        Ok(next) => next,
-        Err(config::Error::Invalid { field, text }) => return problem::bad_input(&field, text),
-        Err(stale) => {
-            return problem::not_run(StatusCode::CONFLICT, "stale revision", stale.to_string());
-        }
-    };
-    if change.dry_run {
-        return json_answer(&next);
-    }
-    let asked = clock::now();
-    let bytes = codec::to_json(&next).unwrap_or_default();
-    match entry.store.swap(CONFIG_KEY, version, &bytes, 0).await {
-        Ok(Swap::Done(version)) => {
-            let item = store::Item { key: CONFIG_KEY.to_owned(), value: bytes, version };
-            entry.learn(asked, Some(&item));
-            json_answer(&next)
-        }
-        Ok(Swap::Lost(item)) => {
-            entry.learn(asked, item.as_ref());
-            let text = "another change was accepted first";
-            problem::not_run(StatusCode::CONFLICT, "stale revision", text)
-        }
-        Err(error) => unknown(&error),
-    }
-}
-
-fn unknown(error: &store::Error) -> Response<Body> {
-    problem::response(&problem::detail(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "store unavailable",
-        lavendergauge_wire::problem::Outcome::Unknown,
-        error.to_string(),
-    ))
-}
-
-fn workers(entry: &Entry) -> Response<Body> {
-    let core = entry.core();
-    let frames: Vec<&Frame> = core.members.iter().map(|member| &member.frame).collect();
-    json_answer(&frames)
-}
-
-async fn submit(entry: &Entry, body: &Bytes) -> Response<Body> {
-    let spec: Spec = match codec::from_json(body) {
-        Ok(spec) => spec,
-        Err(error) => return problem::bad_input("body", error.to_string()),
-    };
-    if !entry.core().document.accounts.iter().any(|account| account.name == spec.account) {
-        let text = format!("there is no client account `{}`", spec.account);
-        return problem::bad_input("account", text);
-    }
-    let id = format!("{:016x}", rand::random::<u64>());
-    match job::submit(entry, &id, spec).await {
-        Ok(Submitted::Accepted(record) | Submitted::Known(record)) => json_answer(&record),
-        Ok(Submitted::Taken) => {
-            problem::not_run(StatusCode::CONFLICT, "job exists", "the identifier is taken")
-        }
-        Err(error) => unknown(&error),
-    }
-}
-
-async fn cancel_job(entry: &Entry, id: &str) -> Response<Body> {
-    match job::cancel(entry, id).await {
-        Ok(Some(record)) => json_answer(&record),
-        Ok(None) => {
-            problem::not_run(StatusCode::NOT_FOUND, "not found", format!("there is no job `{id}`"))
-        }
-        Err(error) => unknown(&error),
-    }
-}
-
-async fn list_jobs(entry: &Entry) -> Response<Body> {
-    match entry.store.list(JOBS_PREFIX).await {
-        Ok(items) => {
-            let records: Vec<Record> =
-                items.iter().filter_map(|item| codec::from_json(&item.value).ok()).collect();
-            json_answer(&records)
-        }
-        Err(error) => unknown(&error),
-    }
-}
-
-async fn show_job(entry: &Entry, id: &str) -> Response<Body> {
-    match job::find(entry, id).await {
-        Ok(Some(record)) => json_answer(&record),
-        Ok(None) => {
-            problem::not_run(StatusCode::NOT_FOUND, "not found", format!("there is no job `{id}`"))
-        }
-        Err(error) => unknown(&error),
-    }
-}
--- a/daemon/src/entry_service.rs
+++ b/daemon/src/entry_service.rs
@@ -12,6 +12,9 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::HOST;
 use hyper::http::request::Parts;
 use lavendergauge_lib::name::Name;
 use lavendergauge_lib::route;
@@ -20,11 +23,13 @@
 use lavendergauge_net::client;
 use lavendergauge_wire::VERSION;
 use lavendergauge_wire::codec;
+use lavendergauge_wire::problem::Detail;
 use lavendergauge_wire::problem::Outcome;
 use lavendergauge_wire::request::Ticket;
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::access;
 use crate::agent_service::OUTCOME_HEADER;
 use crate::agent_service::TICKET_HEADER;
 use crate::clock;
@@ -50,10 +55,13 @@
 /// Answers one caller's request.
 pub async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
+    let account = text(&head.headers, ACCOUNT_HEADER).to_owned();
+    if let Err(detail) = prove(&entry, &head.headers, &account) {
+        return problem::response(&detail);
+    }
     let Ok(body) = body::collect(body, REQUEST_LIMIT).await else {
         return problem::bad_input("body", "cannot be read, or is longer than 4 MB");
     };
-    let account = text(&head.headers, ACCOUNT_HEADER).to_owned();
     if !entry.core().document.accounts.iter().any(|known| known.name == account) {
         let text = format!("there is no client account `{account}`");
         return problem::bad_input(ACCOUNT_HEADER, text);
@@ -76,6 +84,13 @@
     problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no capacity", text)
 }
 
+/// Checks that the caller's key acts for the client account.
+fn prove(entry: &Entry, headers: &HeaderMap, account: &str) -> Result<(), Box<Detail>> {
+    let core = entry.core();
+    let caller = access::identify(&entry.access, &core.document, headers, clock::wall_ms())?;
+    access::check_account(&caller, account)
+}
+
 enum Offer {
     Answer(Response<Body>),
     NotRun,
@@ -164,7 +179,7 @@
             Offer::Answer(Response::from_parts(head, body::full(body)))
         }
         Err(error) if error.never_sent() => Offer::NotRun,
-        Err(error) => recover(&address, &ticket, &error).await,
+        Err(error) => recover(&entry.client, &address, &ticket, &error).await,
     }
 }
 
@@ -177,7 +192,7 @@
         .body(body::full(body.clone()))
         .ok()?;
     for (name, value) in &head.headers {
-        if name != hyper::header::HOST && name != hyper::header::CONTENT_LENGTH {
+        if !matches!(*name, AUTHORIZATION | CONTENT_LENGTH | HOST) {
             request.headers_mut().append(name, value.clone());
         }
     }
@@ -186,13 +201,18 @@
 }
 
 /// Asks the agent, over a new connection, what became of a request in doubt.
-async fn recover(address: &str, ticket: &Ticket, error: &client::Error) -> Offer {
+async fn recover(
+    client: &client::Client,
+    address: &str,
+    ticket: &Ticket,
+    error: &client::Error,
+) -> Offer {
     log::warn!(
         "event=in-doubt key={} worker={} cause=\"{error}\"",
         Name::from(&ticket.key),
         ticket.worker
     );
-    let fresh = client::Client::default();
+    let fresh = client.fresh();
     let request = Request::builder()
         .method(Method::POST)
         .uri(format!("http://{address}/internal/ask"))
--- a/daemon/src/job.rs
+++ b/daemon/src/job.rs
@@ -35,7 +35,25 @@
     if let Some(item) = entry.store.load(&format!("{ENDED_PREFIX}{id}")).await? {
         return Ok(known(record::parse(&item)?.0, &spec));
     }
-    let record = Record {
+    let record = fresh(id, spec);
+    let bytes =
+        codec::to_json(&record).map_err(|error| store::Error::Malformed(error.to_string()))?;
+    let key = format!("{JOBS_PREFIX}{id}");
+    match entry.store.swap(&key, 0, &bytes, 0).await {
+        Ok(Swap::Done(_)) => Ok(Submitted::Accepted(record)),
+        Ok(Swap::Lost(Some(item))) => Ok(known(record::parse(&item)?.0, &record.spec)),
+        Ok(Swap::Lost(None)) => Ok(Submitted::Taken),
+        // The answer may have been lost after the write: what stands decides.
+        Err(error) => match record::load(&entry.store, id).await {
+            Ok(Some((stored, _))) => Ok(known(stored, &record.spec)),
+            _ => Err(error),
+        },
+    }
+}
+
+/// Makes the record of a job that has just been accepted.
+pub fn fresh(id: &str, spec: Spec) -> Record {
+    Record {
         id: id.to_owned(),
         spec,
         state: State::Waiting,
@@ -50,19 +68,6 @@
         result: String::new(),
         reason: String::new(),
         failures: 0,
-    };
-    let bytes =
-        codec::to_json(&record).map_err(|error| store::Error::Malformed(error.to_string()))?;
-    let key = format!("{JOBS_PREFIX}{id}");
-    match entry.store.swap(&key, 0, &bytes, 0).await {
-        Ok(Swap::Done(_)) => Ok(Submitted::Accepted(record)),
-        Ok(Swap::Lost(Some(item))) => Ok(known(record::parse(&item)?.0, &record.spec)),
-        Ok(Swap::Lost(None)) => Ok(Submitted::Taken),
-        // The answer may have been lost after the write: what stands decides.
-        Err(error) => match record::load(&entry.store, id).await {
-            Ok(Some((stored, _))) => Ok(known(stored, &record.spec)),
-            _ => Err(error),
-        },
     }
 }
 
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,10 +1,19 @@
 //! The lavendergauge daemon: entries on entry VMs, agents beside targets.
 
+pub mod access;
 pub mod agent;
 pub mod agent_command;
 pub mod agent_report;
 pub mod agent_service;
 pub mod agent_task;
+pub mod api;
+pub mod api_account;
+pub mod api_config;
+pub mod api_data_centre;
+pub mod api_document;
+pub mod api_job;
+pub mod api_route;
+pub mod api_worker;
 pub mod clock;
 pub mod config;
 pub mod duty;
@@ -20,6 +29,7 @@
 pub mod launch;
 pub mod logs;
 pub mod member;
+pub mod preview;
 pub mod problem;
 pub mod record;
 pub mod runtime;
@@ -33,3 +43,4 @@
 pub mod store_watch;
 pub mod tour;
 pub mod tour_measure;
+pub mod valid;
--- /dev/null
+++ b/daemon/tests/api_access.rs
@@ -0,0 +1,125 @@
+//! Keys of operators, client accounts and processes.
+
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::Request;
+use lavendergauge_daemon::access;
+use lavendergauge_daemon::embedded;
+use lavendergauge_daemon::embedded::Fleet;
+use lavendergauge_daemon::embedded::Plan;
+use lavendergauge_net::body;
+use serde_json::Value;
+use serde_json::json;
+
+const LIMIT: Duration = Duration::from_secs(10);
+const FIRST: &str = "bootstrap.first-secret";
+
+async fn fleet() -> Fleet {
+    let plan = Plan {
+        data_centres: vec!["zilina-1".to_owned()],
+        fleet_key: "a-secret-of-the-fleet".to_owned(),
+        bootstrap_hash: access::hash("first-secret"),
+        ..Plan::default()
+    };
+    embedded::start(&plan).await.expect("starts")
+}
+
+async fn call(
+    fleet: &Fleet,
+    address: std::net::SocketAddr,
+    key: &str,
+    (method, path): (Method, &str),
+    value: &Value,
+) -> (u16, Value) {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header("if-match", "*")
+        .header("lavendergauge-account", "brno");
+    if !key.is_empty() {
+        request = request.header("authorization", format!("Bearer {key}"));
+    }
+    let request = request.body(body::full(value.to_string())).expect("request");
+    let answer = fleet.client.fetch(request, LIMIT).await.expect("answer");
+    let value = serde_json::from_slice(answer.body()).unwrap_or(Value::Null);
+    (answer.status().as_u16(), value)
+}
+
+fn key(id: &str, secret: &str, role: &str, expires_ms: u64) -> Value {
+    json!({"id": id, "hash": access::hash(secret), "role": role, "expires_ms": expires_ms})
+}
+
+fn account(name: &str, keys: Value) -> Value {
+    json!({"name": name, "quota": 0, "weight": 1, "guarantees": [], "keys": keys})
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_needed() {
+    let fleet = fleet().await;
+    let control = fleet.entries[0].control_address;
+    let service = fleet.entries[0].service_address;
+    let get = |path| (Method::GET, path);
+    for key in ["", "bootstrap.wrong", "nobody.first-secret", "bootstrap"] {
+        let (status, refusal) = call(&fleet, control, key, get("/v1/workers"), &Value::Null).await;
+        assert_eq!((status, &refusal["outcome"]), (401, &json!("not-run")), "{key}");
+    }
+    let brno =
+        account("brno", json!([key("old", "one", "caller", 1), key("new", "two", "caller", 0)]));
+    let put = (Method::PUT, "/v1/accounts/brno");
+    let (status, answer) = call(&fleet, control, FIRST, put, &brno).await;
+    assert_eq!(status, 200, "{answer}");
+    let other = account("zlin", json!([key("zlin", "three", "caller", 0)]));
+    call(&fleet, control, FIRST, (Method::PUT, "/v1/accounts/zlin"), &other).await;
+    let zone = json!({"name": "zilina-1", "region": "zilina", "standing": "in"});
+    call(&fleet, control, FIRST, (Method::PUT, "/v1/data-centres/zilina-1"), &zone).await;
+
+    // The old key has expired, the new one acts for its own account alone.
+    let (status, _) = call(&fleet, control, "old.one", get("/v1/jobs"), &Value::Null).await;
+    assert_eq!(status, 401);
+    let (status, _) = call(&fleet, control, "new.two", get("/v1/workers"), &Value::Null).await;
+    assert_eq!(status, 403);
+    let (_, seen) = call(&fleet, control, "new.two", get("/v1/accounts"), &Value::Null).await;
+    assert_eq!(seen.as_array().map(Vec::len), Some(1));
+    let spec = json!({"account": "brno", "members": 1, "accelerators": 1, "adjacency": "worker",
+        "class": "ordinary"});
+    let submit = (Method::POST, "/v1/jobs");
+    let (status, _) = call(&fleet, control, "zlin.three", submit.clone(), &spec).await;
+    assert_eq!(status, 403);
+    let (status, job) = call(&fleet, control, "new.two", submit, &spec).await;
+    assert_eq!(status, 201);
+    let path = format!("/v1/jobs/{}", job["id"].as_str().unwrap_or_default());
+    let (status, _) = call(&fleet, control, "zlin.three", get(&path), &Value::Null).await;
+    assert_eq!(status, 404);
+
+    let check = (Method::POST, "/check");
+    let (status, _) = call(&fleet, service, "zlin.three", check.clone(), &Value::Null).await;
+    assert_eq!(status, 403);
+    let (status, _) = call(&fleet, service, "", check, &Value::Null).await;
+    assert_eq!(status, 401);
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn fleet_key() {
+    let fleet = fleet().await;
+    let control = fleet.entries[0].control_address;
+    let agent = fleet.workers[0].agent.as_ref().expect("agent").address;
+    for (address, path) in [(control, "/internal/announce"), (agent, "/internal/command")] {
+        let (status, refusal) =
+            call(&fleet, address, FIRST, (Method::POST, path), &Value::Null).await;
+        assert_eq!((status, &refusal["title"]), (401, &json!("not of the fleet")), "{path}");
+    }
+    // The agents' own announcements are taken.
+    let begun = std::time::Instant::now();
+    loop {
+        let (_, workers) =
+            call(&fleet, control, FIRST, (Method::GET, "/v1/workers"), &Value::Null).await;
+        if workers.as_array().map(Vec::len) == Some(2) {
+            break;
+        }
+        assert!(begun.elapsed() < LIMIT, "{workers}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    fleet.stop().await;
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod launch;
 mod launch_state;
 pub mod life;
+pub mod limit;
 pub mod name;
 pub mod permit;
 pub mod planner;
--- a/net/src/client.rs
+++ b/net/src/client.rs
@@ -8,6 +8,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
 use hyper_util::client::legacy::Client as Pool;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -25,6 +26,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Header in which a process of the fleet shows the fleet's key.
+pub const FLEET_KEY_HEADER: &str = "lavendergauge-fleet-key";
 /// Most bytes of an answer that is read whole.
 pub const ANSWER_LIMIT: usize = 4 << 20;
 
@@ -72,6 +75,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     pool: Pool<HttpConnector, Body>,
+    fleet_key: Option<HeaderValue>,
 }
 
 impl Default for Client {
@@ -84,11 +88,35 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .retry_canceled_requests(false)
             .build(connector);
-        Client { pool }
+        Client { pool, fleet_key: None }
     }
 }
 
 impl Client {
+    /// Makes a client that shows the fleet's key with every request; an empty key shows nothing.
+    ///
+    /// It is for calls to the fleet's own processes and to nobody else.
+    ///
+    /// ```no_run
+    /// let _client = lavendergauge_net::client::Client::for_fleet("0123456789abcdef");
+    /// ```
+    pub fn for_fleet(key: &str) -> Self {
+        let mut fleet_key = HeaderValue::from_str(key).ok().filter(|key| !key.is_empty());
+        if let Some(key) = &mut fleet_key {
+            key.set_sensitive(true);
+        }
+        Client { fleet_key, ..Client::default() }
+    }
+
+    /// Makes a client with connections of its own that shows the same key.
+    ///
+    /// ```no_run
+    /// let _fresh = lavendergauge_net::client::Client::default().fresh();
+    /// ```
+    pub fn fresh(&self) -> Self {
+        Client { fleet_key: self.fleet_key.clone(), ..Client::default() }
+    }
+
     /// Sends a request and returns the answer's head with its body still streaming.
     ///
     /// # Errors
@@ -96,9 +124,12 @@
     /// fate is in doubt.
     pub async fn send(
         &self,
-        request: Request<Body>,
+        mut request: Request<Body>,
         deadline: Duration,
     ) -> Result<Response<Incoming>, Error> {
+        if let Some(key) = &self.fleet_key {
+            request.headers_mut().insert(FLEET_KEY_HEADER, key.clone());
+        }
         match time::timeout(deadline, self.pool.request(request)).await {
             Err(_) => Err(Error::Timeout(deadline)),
             Ok(Ok(response)) => Ok(response),
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! checks that it is current.
 
 pub mod codec;
+pub mod strict;
 
 /// What an agent announces about its worker, and what it learns in return.
 #[allow(missing_docs, clippy::all)]
@@ -12,6 +13,12 @@
 #[path = "generated/announce.rs"]
 pub mod announce;
 
+/// What the administration API tells about the fleet.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/api.rs"]
+pub mod api;
+
 /// The operators' configuration and the changes to it.
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
@@ -44,3 +51,12 @@
 
 /// Version of the protocol between lavendergauge's processes.
 pub const VERSION: u32 = 1;
+
+/// The JSON Schemas of the administration API's bodies, by module.
+pub const SCHEMAS: [(&str, &str); 5] = [
+    ("announce", include_str!("../schema/announce.json")),
+    ("api", include_str!("../schema/api.json")),
+    ("config", include_str!("../schema/config.json")),
+    ("job", include_str!("../schema/job.json")),
+    ("problem", include_str!("../schema/problem.json")),
+];
--- a/wire/tests/schema_current.rs
+++ b/wire/tests/schema_current.rs
@@ -10,7 +10,7 @@
 use typify::TypeSpace;
 use typify::TypeSpaceSettings;
 
-const SCHEMAS: [&str; 6] = ["announce", "config", "gang", "job", "problem", "request"];
+const SCHEMAS: [&str; 7] = ["announce", "api", "config", "gang", "job", "problem", "request"];
 
 /// Generates one module's source from its schema.
 fn generate(schema: &str) -> String {
