net: parts of a request as a stream, and a bound on connections

Cause: between entry and agent an answer was one HTTP body read whole, so a cut, crossed or silent connection could neither be told from a slow one nor resumed, and a target's 64 connections were not bounded.

Conclusion: a reader knows whose answer it has, whether it is whole, and whether its sender lives.

--- a/net/src/body.rs
+++ b/net/src/body.rs
@@ -6,6 +6,8 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use http_body_util::channel::Channel;
+use http_body_util::channel::Sender;
 use http_body_util::combinators::BoxBody;
 use hyper::body::Body as HttpBody;
 
@@ -35,6 +37,22 @@
     full(Bytes::new())
 }
 
+/// Frames that a streamed body holds until its reader takes them.
+const CHANNEL_FRAMES: usize = 4;
+
+/// Makes a streamed body and the sender that fills it.
+///
+/// The sender waits while the reader is slow, and fails once the reader is gone.
+///
+/// ```
+/// use lavendergauge_net::body;
+/// let (_sender, _body) = body::channel();
+/// ```
+pub fn channel() -> (Sender<Bytes, Cause>, Body) {
+    let (sender, body) = Channel::new(CHANNEL_FRAMES);
+    (sender, body.boxed())
+}
+
 /// Reads a whole body of at most `limit` bytes.
 ///
 /// # Errors
--- a/net/src/client.rs
+++ b/net/src/client.rs
@@ -10,7 +10,6 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper_util::client::legacy::Client as Pool;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 use serde::Serialize;
@@ -21,9 +20,8 @@
 
 use crate::body;
 use crate::body::Body;
+use crate::connector::Connector;
 
-/// Bound on opening one connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Header in which a process of the fleet shows the fleet's key.
@@ -71,28 +69,53 @@
     }
 }
 
+/// How a client keeps its connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Most connections at a time, busy and idle, to all peers together.
+    pub connections: usize,
+    /// Most idle connections to one peer; 0 opens a fresh one for each request.
+    pub idle: usize,
+    /// Time after which an idle connection is closed.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options { connections: 4096, idle: 64, idle_timeout: IDLE_TIMEOUT }
+    }
+}
+
 /// A pooled HTTP client.
 #[derive(Clone, Debug)]
 pub struct Client {
-    pool: Pool<HttpConnector, Body>,
+    pool: Pool<Connector, Body>,
     fleet_key: Option<HeaderValue>,
 }
 
 impl Default for Client {
     fn default() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        Client::new(Options::default())
+    }
+}
+
+impl Client {
+    /// Makes a client.
+    ///
+    /// ```
+    /// use lavendergauge_net::client::{Client, Options};
+    /// let _client = Client::new(Options { idle: 0, ..Options::default() });
+    /// ```
+    pub fn new(options: Options) -> Self {
         let pool = Pool::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .retry_canceled_requests(false)
-            .build(connector);
+            .pool_idle_timeout(options.idle_timeout)
+            .pool_max_idle_per_host(options.idle)
+            .retry_canceled_requests(true)
+            .build(Connector::new(options.connections));
         Client { pool, fleet_key: None }
     }
-}
 
-impl Client {
     /// Makes a client that shows the fleet's key with every request; an empty key shows nothing.
     ///
     /// It is for calls to the fleet's own processes and to nobody else.
@@ -108,13 +131,14 @@
         Client { fleet_key, ..Client::default() }
     }
 
-    /// Makes a client with connections of its own that shows the same key.
+    /// Makes a client that shows the same key and opens a new connection for each request.
     ///
     /// ```no_run
     /// let _fresh = lavendergauge_net::client::Client::default().fresh();
     /// ```
     pub fn fresh(&self) -> Self {
-        Client { fleet_key: self.fleet_key.clone(), ..Client::default() }
+        let options = Options { idle: 0, ..Options::default() };
+        Client { fleet_key: self.fleet_key.clone(), ..Client::new(options) }
     }
 
     /// Sends a request and returns the answer's head with its body still streaming.
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -2,5 +2,8 @@
 
 pub mod body;
 pub mod client;
+pub mod connector;
+pub mod header;
+pub mod parts;
 pub mod server;
 pub mod tls;
--- /dev/null
+++ b/net/src/parts.rs
@@ -0,0 +1,109 @@
+//! Parts of a request or an answer, read from a body as they arrive.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use lavendergauge_wire::codec;
+use lavendergauge_wire::part;
+use lavendergauge_wire::part::Decoder;
+use lavendergauge_wire::part::Part;
+use tokio::time;
+
+/// Silence after which a stream of parts counts as lost.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(1300);
+/// Interval of the marks that tell of life while there is nothing to say.
+pub const MARK_EVERY: Duration = Duration::from_millis(400);
+
+/// Why no further part can be read.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// Nothing came for [`SILENCE_LIMIT`].
+    #[error("silent for {SILENCE_LIMIT:?}")]
+    Silent,
+    /// The connection broke, or the stream ended too early.
+    #[error("stream broke: {0}")]
+    Broken(String),
+    /// The bytes are not parts.
+    #[error(transparent)]
+    Malformed(#[from] codec::Error),
+}
+
+/// The parts of one body.
+#[derive(Debug)]
+pub struct Parts {
+    body: Incoming,
+    decoder: Decoder,
+    ready: VecDeque<Part>,
+}
+
+impl Parts {
+    /// Begins to read a body.
+    pub fn new(body: Incoming) -> Self {
+        Parts { body, decoder: Decoder::default(), ready: VecDeque::new() }
+    }
+
+    /// Puts back a part that was read, to be read again.
+    pub fn put_back(&mut self, part: Part) {
+        self.ready.push_front(part);
+    }
+
+    /// Returns the next part that has already arrived; marks are passed over.
+    ///
+    /// # Errors
+    /// [`Error::Malformed`] when the bytes are not a part.
+    pub fn try_next(&mut self) -> Result<Option<Part>, Error> {
+        if let Some(part) = self.ready.pop_front() {
+            return Ok(Some(part));
+        }
+        loop {
+            match self.decoder.next()? {
+                Some(Part::Mark) => {}
+                part => return Ok(part),
+            }
+        }
+    }
+
+    /// Waits for the next part; marks are passed over, but end the silence.
+    ///
+    /// # Errors
+    /// [`Error`] says why there is none.
+    pub async fn next(&mut self) -> Result<Part, Error> {
+        loop {
+            if let Some(part) = self.try_next()? {
+                return Ok(part);
+            }
+            let frame = time::timeout(SILENCE_LIMIT, self.body.frame()).await;
+            match frame.map_err(|_| Error::Silent)? {
+                Some(Ok(frame)) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        self.decoder.push(bytes);
+                    }
+                }
+                Some(Err(error)) => return Err(Error::Broken(error.to_string())),
+                None => return Err(Error::Broken("ended too early".to_owned())),
+            }
+        }
+    }
+}
+
+/// Encodes parts into one run of bytes.
+///
+/// # Errors
+/// When a part is longer than the protocol allows.
+///
+/// ```
+/// use lavendergauge_net::parts;
+/// use lavendergauge_wire::part::Part;
+/// assert!(!parts::encode(&[Part::Mark]).unwrap().is_empty());
+/// ```
+pub fn encode(parts: &[Part]) -> Result<Bytes, codec::Error> {
+    let mut buffer = BytesMut::new();
+    for part in parts {
+        part::encode(part, &mut buffer)?;
+    }
+    Ok(buffer.freeze())
+}
--- a/wire/src/codec.rs
+++ b/wire/src/codec.rs
@@ -23,6 +23,9 @@
     /// The value has no JSON form, or the bytes are not the JSON form of the type.
     #[error("malformed JSON: {0}")]
     Json(#[from] serde_json::Error),
+    /// A part of a stream is too long.
+    #[error("malformed part: {0}")]
+    Part(std::io::Error),
 }
 
 /// Encodes a value as MessagePack with named fields.
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! checks that it is current.
 
 pub mod codec;
+pub mod part;
 pub mod strict;
 
 /// What an agent announces about its worker, and what it learns in return.
