--- a/fakes/src/http.rs
+++ b/fakes/src/http.rs
@@ -13,6 +13,7 @@
 use lavendergauge_net::body::Body;
 use lavendergauge_net::server;
 use lavendergauge_net::server::Answer;
+use lavendergauge_net::server::Handler;
 use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -73,9 +74,6 @@
     F: Fn(Call) -> R + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback port");
-    let address = listener.local_addr().expect("bound address");
-    let (stop, stopped) = watch::channel(false);
     let answer = Arc::new(answer);
     let handler = move |request: Request<Incoming>, _peer: SocketAddr| -> Answer {
         let answer = answer.clone();
@@ -90,7 +88,18 @@
             }
         })
     };
-    let task = tokio::spawn(server::serve(listener, Arc::new(handler), CONNECTIONS, stopped));
+    start_raw(Arc::new(handler)).await
+}
+
+/// Starts a server on a free loopback port whose handler reads the bodies itself.
+///
+/// # Panics
+/// When no loopback port can be had.
+pub async fn start_raw(handler: Handler) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback port");
+    let address = listener.local_addr().expect("bound address");
+    let (stop, stopped) = watch::channel(false);
+    let task = tokio::spawn(server::serve(listener, handler, CONNECTIONS, stopped));
     Server { address, task, _stop: stop }
 }
 
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod http;
 pub mod kv;
 mod kv_watch;
+pub mod relay;
 pub mod runtime;
 pub mod target;
