--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -73,6 +73,8 @@
     pub client: Client,
     /// Client towards the target, which must not see the fleet's key.
     pub target_client: Client,
+    /// Answers of requests that are being made or kept.
+    pub answers: agent_service::Answers,
     core: Mutex<Core>,
 }
 
@@ -101,6 +103,7 @@
     pub async fn stop(self) {
         self.agent.core().leaving = true;
         time::sleep(LEAVE_GRACE).await;
+        agent_service::drain(&self.agent).await;
         let _ = self.stop.send(true);
         for task in self.tasks {
             let _ = task.await;
@@ -128,7 +131,8 @@
         runtime: Runtime::new(role.runtime_address.clone()),
         access: settings.access.clone(),
         client: Client::for_fleet(&settings.access.fleet_key),
-        target_client: Client::default(),
+        target_client: agent_service::target_client(role.connections),
+        answers: agent_service::Answers::default(),
         core: Mutex::new(Core {
             permit: permit::Gate::default(),
             gang: gang::Gate::new(capacity),
@@ -183,6 +187,7 @@
         worker: agent.name.clone(),
         address: agent.settings.address.clone(),
         incarnation: agent.incarnation,
+        clock_ms: clock::now().0,
         sequence: core.sequence,
         data_centre: agent.data_centre.clone(),
         rack: agent.settings.rack.clone(),
--- a/daemon/src/agent_service.rs
+++ b/daemon/src/agent_service.rs
@@ -1,197 +1,333 @@
 //! The agent's side of requests: the gate before the target, and what became of each key.
 
+use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
-use bytes::Bytes;
+use http_body_util::channel::Sender;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::HeaderName;
-use hyper::header::HeaderValue;
-use hyper::http::request::Parts;
+use lavendergauge_lib::clock::Millis;
 use lavendergauge_lib::name::Name;
+use lavendergauge_lib::request;
 use lavendergauge_lib::request::Admission;
-use lavendergauge_lib::request::Answer;
-use lavendergauge_lib::request::Refusal;
 use lavendergauge_lib::request::Standing;
 use lavendergauge_net::body;
 use lavendergauge_net::body::Body;
-use lavendergauge_net::client::FLEET_KEY_HEADER;
+use lavendergauge_net::body::Cause;
+use lavendergauge_net::client::Client;
+use lavendergauge_net::client::Options;
+use lavendergauge_net::parts;
+use lavendergauge_net::parts::MARK_EVERY;
+use lavendergauge_net::parts::Parts;
 use lavendergauge_wire::codec;
-use lavendergauge_wire::problem::Outcome;
+use lavendergauge_wire::part::Hello;
+use lavendergauge_wire::part::Open;
+use lavendergauge_wire::part::Part;
+use lavendergauge_wire::part::Refusal;
+use lavendergauge_wire::request::Standing as Known;
+use lavendergauge_wire::request::Status;
 use lavendergauge_wire::request::Ticket;
+use tokio::time;
+use tokio::time::Instant;
 
 use crate::access;
 use crate::agent::Agent;
+use crate::agent_answer::Answer;
+use crate::agent_answer::Reader;
 use crate::agent_command;
+use crate::agent_run;
 use crate::clock;
 use crate::problem;
 
-/// Header that carries an entry's ticket, as MessagePack in base64.
-pub const TICKET_HEADER: &str = "lavendergauge-ticket";
-/// Header in which an agent says what became of a request.
-pub const OUTCOME_HEADER: &str = "lavendergauge-outcome";
-/// Most bytes of a request's body.
-const REQUEST_LIMIT: usize = 4 << 20;
-/// Bound on one execution at the target.
-const TARGET_DEADLINE: Duration = Duration::from_secs(300);
+/// Path at which an entry hands a request over.
+pub const RUN_PATH: &str = "/internal/run";
+/// Path at which an entry asks for a request's answer.
+pub const ASK_PATH: &str = "/internal/ask";
+/// Path at which an entry says that nobody waits for a request any more.
+pub const CANCEL_PATH: &str = "/internal/cancel";
+/// Path at which an entry looks up what became of a key, which changes nothing.
+pub const LOOK_PATH: &str = "/internal/look";
+/// Most bytes of a command's body.
+const COMMAND_LIMIT: usize = 4 << 20;
+/// Time after which an idle connection to the target is closed.
+const TARGET_IDLE: Duration = Duration::from_secs(1);
+
+/// Answers that are being made or kept, by key.
+#[derive(Debug, Default)]
+pub struct Answers {
+    by_key: Mutex<HashMap<Name, Arc<Answer>>>,
+}
+
+impl Answers {
+    fn lock(&self) -> MutexGuard<'_, HashMap<Name, Arc<Answer>>> {
+        self.by_key.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn find(&self, key: &Name) -> Option<Arc<Answer>> {
+        self.lock().get(key).cloned()
+    }
+
+    /// Forgets answers that are no longer kept.
+    pub fn forget(&self, keys: &[Name]) {
+        if keys.is_empty() {
+            return;
+        }
+        let mut answers = self.lock();
+        for key in keys {
+            answers.remove(key);
+        }
+    }
+
+    /// Returns the number of answers.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Tells whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+}
+
+/// Makes the client of a target that takes so many connections.
+pub fn target_client(connections: u32) -> Client {
+    let connections = connections as usize;
+    Client::new(Options { connections, idle: connections, idle_timeout: TARGET_IDLE })
+}
+
+/// Forgets what is past its retention.
+pub fn tick(agent: &Agent, now: Millis) {
+    let dropped = agent.core().requests.tick(now);
+    agent.answers.forget(&dropped);
+}
+
+/// Waits until every execution has ended.
+pub async fn drain(agent: &Agent) {
+    while 0 < agent.core().requests.used() {
+        time::sleep(MARK_EVERY / 10).await;
+    }
+}
 
 /// Answers one request of an entry.
 pub async fn answer(agent: Arc<Agent>, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
     if !access::is_fleet(&agent.access, &head.headers) {
-        return refused(problem::response(&access::foreign()));
+        return problem::response(&access::foreign());
     }
-    let Ok(body) = body::collect(body, REQUEST_LIMIT).await else {
-        return refused(problem::bad_input("body", "cannot be read, or is longer than 4 MB"));
-    };
-    if head.uri.path() == "/internal/command" {
-        return agent_command::answer(&agent, &body).await;
+    match head.uri.path() {
+        RUN_PATH => run(agent, Parts::new(body)).await,
+        ASK_PATH => ask(agent, Parts::new(body)).await,
+        "/internal/command" => match body::collect(body, COMMAND_LIMIT).await {
+            Ok(body) => agent_command::answer(&agent, &body).await,
+            Err(_) => problem::bad_input("body", "cannot be read, or is longer than 4 MB"),
+        },
+        path @ (CANCEL_PATH | LOOK_PATH) => {
+            let body = body::collect(body, COMMAND_LIMIT).await.unwrap_or_default();
+            match codec::unpack::<Ticket>(&body) {
+                Ok(ticket) if path == CANCEL_PATH => cancel(&agent, &ticket),
+                Ok(ticket) => look(&agent, &ticket),
+                Err(error) => problem::bad_input("body", error.to_string()),
+            }
+        }
+        _ => problem::not_run(StatusCode::NOT_FOUND, "not found", "there is no such resource"),
+    }
+}
+
+/// Returns the name of one turn of a key within all client accounts.
+pub fn scoped(ticket: &Ticket) -> Name {
+    Name::from(format!("{}\n{}\n{}", ticket.account, ticket.key, ticket.nonce))
+}
+
+fn to_gate(ticket: &Ticket) -> request::Ticket {
+    request::Ticket {
+        key: scoped(ticket),
+        digest: Name::from(&ticket.digest),
+        drawn: Millis(ticket.drawn_ms),
+        claimed: ticket.claimed,
     }
-    let Some(ticket) = ticket(&head) else {
-        return refused(problem::bad_input(TICKET_HEADER, "is missing or malformed"));
+}
+
+async fn open(parts: &mut Parts) -> Option<Open> {
+    match parts.next().await {
+        Ok(Part::Open(open)) => Some(*open),
+        _ => None,
+    }
+}
+
+fn hello(agent: &Agent, ticket: &Ticket) -> Part {
+    Part::Hello(Hello {
+        key: ticket.key.clone(),
+        attempt: ticket.attempt,
+        incarnation: agent.incarnation,
+        used: agent.core().requests.used(),
+    })
+}
+
+fn last(agent: &Agent, ticket: &Ticket, part: Part) -> Response<Body> {
+    let bytes = parts::encode(&[hello(agent, ticket), part]).unwrap_or_default();
+    Response::new(body::full(bytes))
+}
+
+/// Says that this process knows nothing of what its predecessor did.
+fn replaced() -> Part {
+    Part::Refused(Refusal::Replaced)
+}
+
+async fn run(agent: Arc<Agent>, mut parts: Parts) -> Response<Body> {
+    let Some(open) = open(&mut parts).await else {
+        return problem::bad_input("body", "does not begin with a ticket");
     };
+    fail::fail_point!("agent-before-admit");
+    let ticket = open.ticket.clone();
     if ticket.incarnation != agent.incarnation {
-        return unknown("the process that was meant is gone");
-    }
-    if head.uri.path() == "/internal/ask" {
-        return ask(&agent, &ticket).await;
+        return last(&agent, &ticket, replaced());
     }
-    let key = Name::from(&ticket.key);
-    match admit(&agent, &ticket, &key) {
-        Admission::Run => {
-            let running = agent.clone();
-            let task = tokio::spawn(async move { run(running, head, body, key).await });
-            task.await.unwrap_or_else(|_| unknown("the execution broke off"))
+    let key = scoped(&ticket);
+    let begun = begin(&agent, &ticket, &key);
+    log::debug!("event=admit key={} attempt={} verdict={:?}", ticket.key, ticket.attempt, begun.0);
+    fail::fail_point!("agent-after-admit");
+    match begun {
+        (Admission::Run, Some(answer)) => {
+            let streamed = !ticket.whole;
+            answer.admit();
+            let reader = Reader::new(answer.clone(), open.from);
+            tokio::spawn(agent_run::run(agent.clone(), open, parts, key, answer));
+            read(&agent, &ticket, reader, streamed).await
         }
-        Admission::Ran(answer) => ran(&answer),
-        Admission::Running => ask(&agent, &ticket).await,
-        Admission::Refused(Refusal::Mismatch) => {
-            let text = "the Idempotency-Key was used with another request";
-            problem::not_run(StatusCode::UNPROCESSABLE_ENTITY, "key mismatch", text)
-        }
-        Admission::Refused(refusal) => {
-            let text = format!("{refusal:?}");
-            refused(problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "refused", text))
+        (Admission::Known(Standing::Running | Standing::Ran), Some(answer)) => {
+            read(&agent, &ticket, Reader::new(answer, open.from), false).await
         }
+        (Admission::Known(standing), _) => last(&agent, &ticket, known(standing)),
+        (Admission::Refused(refusal), _) => last(&agent, &ticket, refused(refusal)),
+        (Admission::Run, None) => last(&agent, &ticket, replaced()),
     }
 }
 
-fn ticket(head: &Parts) -> Option<Ticket> {
-    let text = head.headers.get(TICKET_HEADER)?.to_str().ok()?;
-    codec::unpack(&STANDARD.decode(text).ok()?).ok()
-}
-
-fn admit(agent: &Agent, ticket: &Ticket, key: &Name) -> Admission {
+/// Asks the gate, and makes or finds the answer in the same step.
+fn begin(agent: &Agent, ticket: &Ticket, key: &Name) -> (Admission, Option<Arc<Answer>>) {
     let now = clock::now();
     let mut core = agent.core();
     let open = match (core.leaving, core.permit.is_open(now)) {
-        (true, _) => Err(Refusal::Leaving),
-        (false, false) => Err(Refusal::NoPermit),
+        (true, _) => Err(request::Refusal::Leaving),
+        (false, false) => Err(request::Refusal::NoPermit),
         (false, true) => Ok(()),
     };
-    core.requests.admit(key, &Name::from(&ticket.digest), open)
-}
-
-/// Runs a request at the target; goes on to the end even when the entry hangs up.
-async fn run(agent: Arc<Agent>, head: Parts, body: Bytes, key: Name) -> Response<Body> {
-    let answer = match execute(&agent, &head, body).await {
-        Ok(answer) => answer,
-        Err(text) => Answer {
-            status: StatusCode::BAD_GATEWAY.as_u16(),
-            headers: Vec::new(),
-            body: codec::to_json(&problem::detail(
-                StatusCode::BAD_GATEWAY,
-                "target failed",
-                Outcome::Unknown,
-                text,
-            ))
-            .unwrap_or_default(),
-        },
+    let admission = core.requests.admit(now, &to_gate(ticket), open);
+    if admission == Admission::Run {
+        agent.answers.lock().insert(key.clone(), Arc::default());
+    }
+    (admission, agent.answers.find(key))
+}
+
+fn refused(refusal: request::Refusal) -> Part {
+    Part::Refused(match refusal {
+        request::Refusal::Full => Refusal::Full,
+        request::Refusal::NoPermit => Refusal::NoPermit,
+        request::Refusal::Leaving => Refusal::Leaving,
+        request::Refusal::Fenced => Refusal::Fenced,
+        request::Refusal::Mismatch => Refusal::Mismatch,
+        request::Refusal::Crowded => Refusal::Crowded,
+    })
+}
+
+/// Says what became of a key whose answer there is not.
+fn known(standing: Standing) -> Part {
+    match standing {
+        Standing::Fenced => Part::Refused(Refusal::Fenced),
+        Standing::Dropped | Standing::Ran => Part::Dropped,
+        Standing::Doubt => Part::Doubt("the target broke off".to_owned()),
+        Standing::Running => Part::Doubt("the execution broke off".to_owned()),
+        Standing::Forgotten => Part::Doubt("the record was forgotten".to_owned()),
+    }
+}
+
+/// Hands over the answer of a request; a key never seen is fenced.
+async fn ask(agent: Arc<Agent>, mut parts: Parts) -> Response<Body> {
+    let Some(open) = open(&mut parts).await else {
+        return problem::bad_input("body", "does not begin with a ticket");
     };
-    agent.core().requests.finish(clock::now(), &key, answer.clone());
-    ran(&answer)
-}
-
-async fn execute(agent: &Agent, head: &Parts, body: Bytes) -> Result<Answer, String> {
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let mut request = Request::builder()
-        .method(head.method.clone())
-        .uri(format!("http://{}{path}", agent.settings.target_address))
-        .body(body::full(body))
-        .map_err(|error| error.to_string())?;
-    for (name, value) in &head.headers {
-        let ours = name == TICKET_HEADER
-            || name == FLEET_KEY_HEADER
-            || name == hyper::header::HOST
-            || name == hyper::header::CONTENT_LENGTH;
-        if !ours {
-            request.headers_mut().append(name, value.clone());
-        }
+    fail::fail_point!("agent-before-ask");
+    let ticket = open.ticket;
+    if ticket.incarnation != agent.incarnation {
+        return last(&agent, &ticket, replaced());
     }
-    let response = agent
-        .target_client
-        .fetch(request, TARGET_DEADLINE)
-        .await
-        .map_err(|error| error.to_string())?;
-    let headers = response
-        .headers()
-        .iter()
-        .map(|(name, value)| {
-            (Bytes::from(name.as_str().to_owned()), Bytes::copy_from_slice(value.as_bytes()))
-        })
-        .collect();
-    Ok(Answer { status: response.status().as_u16(), headers, body: response.into_body() })
-}
-
-/// Says what became of a key, waiting for a running one; a key never seen is fenced.
-async fn ask(agent: &Agent, ticket: &Ticket) -> Response<Body> {
-    let key = Name::from(&ticket.key);
-    let until = clock::now() + Duration::from_millis(ticket.deadline_ms);
-    loop {
-        let standing = agent.core().requests.ask(clock::now(), &key);
-        match standing {
-            Standing::Ran(answer) => return ran(&answer),
-            Standing::Fenced => {
-                let text = "the request never ran here and never will";
-                let status = StatusCode::SERVICE_UNAVAILABLE;
-                return refused(problem::not_run(status, "not run", text));
-            }
-            Standing::Running if until <= clock::now() => {
-                return unknown("the request is still running");
-            }
-            Standing::Running => tokio::time::sleep(Duration::from_millis(5)).await,
+    let (standing, answer) = {
+        let mut core = agent.core();
+        let standing = core.requests.ask(clock::now(), &to_gate(&ticket));
+        (standing, agent.answers.find(&scoped(&ticket)))
+    };
+    match (standing, answer) {
+        (Standing::Running | Standing::Ran, Some(answer)) => {
+            read(&agent, &ticket, Reader::new(answer, open.from), false).await
         }
+        (standing, _) => last(&agent, &ticket, known(standing)),
     }
 }
 
-fn with_outcome(mut response: Response<Body>, outcome: &'static str) -> Response<Body> {
-    response.headers_mut().insert(OUTCOME_HEADER, HeaderValue::from_static(outcome));
-    response
+fn cancel(agent: &Agent, ticket: &Ticket) -> Response<Body> {
+    let answer = agent.answers.find(&scoped(ticket));
+    if let Some(answer) = answer.filter(|_| ticket.incarnation == agent.incarnation) {
+        answer.cancel();
+    }
+    Response::new(body::empty())
 }
 
-fn refused(response: Response<Body>) -> Response<Body> {
-    with_outcome(response, "not-run")
+fn look(agent: &Agent, ticket: &Ticket) -> Response<Body> {
+    let standing = match ticket.incarnation == agent.incarnation {
+        true => agent.core().requests.look(&to_gate(ticket)),
+        false => Some(Standing::Forgotten),
+    };
+    let standing = match standing {
+        Some(Standing::Running) => Known::Running,
+        Some(Standing::Ran | Standing::Dropped) => Known::Ran,
+        Some(Standing::Fenced) => Known::Fenced,
+        None => Known::Absent,
+        Some(Standing::Doubt | Standing::Forgotten) => Known::Unknown,
+    };
+    let status = Status { standing, worker: agent.name.clone(), incarnation: agent.incarnation };
+    Response::new(body::full(codec::pack(&status).unwrap_or_default()))
 }
 
-fn unknown(text: &str) -> Response<Body> {
-    let status = StatusCode::GATEWAY_TIMEOUT;
-    let detail = problem::detail(status, "outcome unknown", Outcome::Unknown, text);
-    with_outcome(problem::response(&detail), "unknown")
+/// Answers with the parts of an answer as they come; `at_once` sends the head without delay.
+async fn read(agent: &Agent, ticket: &Ticket, mut reader: Reader, at_once: bool) -> Response<Body> {
+    let soon = Instant::now() + MARK_EVERY;
+    while !at_once && !reader.is_complete() {
+        if time::timeout_at(soon, reader.changed()).await.is_err() {
+            break;
+        }
+    }
+    fail::fail_point!("agent-before-answer");
+    let mut first = vec![hello(agent, ticket)];
+    first.extend(reader.take());
+    if reader.is_over() {
+        return Response::new(body::full(parts::encode(&first).unwrap_or_default()));
+    }
+    let (sender, body) = body::channel();
+    tokio::spawn(pump(first, reader, sender));
+    Response::new(body)
 }
 
-fn ran(answer: &Answer) -> Response<Body> {
-    let mut response = Response::new(body::full(answer.body.clone()));
-    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    for (name, value) in &answer.headers {
-        let header = HeaderName::from_bytes(name).ok().zip(HeaderValue::from_bytes(value).ok());
-        if let Some((name, value)) = header {
-            response.headers_mut().append(name, value);
+/// Sends the parts of an answer as they come, and marks while there are none.
+async fn pump(mut parts: Vec<Part>, mut reader: Reader, mut sender: Sender<bytes::Bytes, Cause>) {
+    loop {
+        if !parts.is_empty() {
+            let bytes = parts::encode(&parts).unwrap_or_default();
+            if sender.send_data(bytes).await.is_err() {
+                return;
+            }
+        }
+        if reader.is_over() {
+            return;
+        }
+        parts = reader.take();
+        if parts.is_empty() {
+            let changed = time::timeout(MARK_EVERY, reader.changed()).await;
+            parts = if changed.is_ok() { reader.take() } else { vec![Part::Mark] };
         }
     }
-    with_outcome(response, "ran")
 }
--- a/daemon/src/agent_task.rs
+++ b/daemon/src/agent_task.rs
@@ -20,6 +20,7 @@
 use tokio::time;
 
 use crate::agent::Agent;
+use crate::agent_service;
 use crate::clock;
 use crate::runtime;
 use crate::runtime::State;
@@ -166,7 +167,7 @@
         for effect in effects {
             spawn(&agent, effect);
         }
-        agent.core().requests.tick(now);
+        agent_service::tick(&agent, now);
         follow(&agent).await;
         time::sleep(TICK).await;
     }
--- a/daemon/src/api_route.rs
+++ b/daemon/src/api_route.rs
@@ -16,6 +16,7 @@
 use crate::api_document;
 use crate::api_job;
 use crate::api_worker;
+use crate::entry_outcome;
 use crate::problem;
 
 /// What a call does.
@@ -69,6 +70,10 @@
     ExplainJob,
     /// Explain where a job would go that is not submitted.
     ExplainSpec,
+    /// Show what became of a request.
+    ShowOutcome,
+    /// Show the answer of a request.
+    ShowAnswer,
     /// Show the OpenAPI document.
     ShowDocument,
 }
@@ -128,6 +133,8 @@
     route(Method::DELETE, "/v1/jobs/{job}", Operation::CancelJob, "", "job.Record", "Cancel a job"),
     route(Method::GET, "/v1/jobs/{job}/explanation", Operation::ExplainJob, "", "api.Explanation", "Say why a job waits, or where it would go"),
     route(Method::POST, "/v1/explanations", Operation::ExplainSpec, "job.Spec", "api.Explanation", "Say where a job would go that is not submitted"),
+    route(Method::GET, "/v1/outcomes/{key}", Operation::ShowOutcome, "", "request.Report", "Say what became of a request of the client account that the lavendergauge-account header names"),
+    route(Method::GET, "/v1/outcomes/{key}/answer", Operation::ShowAnswer, "", "", "Show the kept answer of a request"),
     route(Method::GET, "/v1/openapi.json", Operation::ShowDocument, "", "", "Show this document"),
 ];
 
@@ -209,6 +216,8 @@
         Operation::CancelJob => api_job::cancel(call).await,
         Operation::ExplainJob => api_job::explain(call).await,
         Operation::ExplainSpec => api_job::explain_spec(call).await,
+        Operation::ShowOutcome => entry_outcome::show(call).await,
+        Operation::ShowAnswer => entry_outcome::answer(call).await,
         Operation::ShowDocument => Ok(api::json(&api_document::whole())),
     }
 }
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -28,7 +28,10 @@
 use crate::clock;
 use crate::config;
 use crate::duty;
+use crate::entry_claim;
 use crate::entry_control;
+use crate::entry_route;
+use crate::entry_route::Router;
 use crate::entry_service;
 use crate::member;
 use crate::settings;
@@ -77,6 +80,14 @@
     pub store: Store,
     /// Client towards agents and entries.
     pub client: Client,
+    /// Client that opens a new connection for each call, for when old ones are in doubt.
+    pub fresh: Client,
+    /// Number of this process.
+    pub incarnation: u64,
+    /// The queue of requests and the view of the targets.
+    pub router: Arc<Router>,
+    /// The lease of claimed keys.
+    pub lease: entry_claim::Lease,
     core: Mutex<Core>,
 }
 
@@ -147,12 +158,17 @@
     let control = TcpListener::bind(&role.control_address).await?;
     let service_address = service.local_addr()?;
     let control_address = control.local_addr()?;
+    let client = Client::for_fleet(&settings.access.fleet_key);
     let entry = Arc::new(Entry {
         name: settings.name.clone(),
         control_address: control_address.to_string(),
         access: settings.access.clone(),
         store: Store::new(role.store_address.clone()),
-        client: Client::for_fleet(&settings.access.fleet_key),
+        client: client.clone(),
+        fresh: client.fresh(),
+        incarnation: rand::random(),
+        router: Arc::default(),
+        lease: entry_claim::Lease::default(),
         core: Mutex::new(Core {
             document: config::empty(),
             version: 0,
@@ -187,6 +203,7 @@
             stopped.clone(),
         )),
         tokio::spawn(confirm(entry.clone(), stopped.clone())),
+        tokio::spawn(entry_route::run(entry.clone(), stopped.clone())),
         tokio::spawn(duty::run(entry.clone(), role.tick, stopped)),
     ];
     log::info!("event=started role=entry service={service_address} control={control_address}");
--- /dev/null
+++ b/daemon/src/entry_route.rs
@@ -0,0 +1,227 @@
+//! Places at targets: who waits for one, and who gets which.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use lavendergauge_lib::clock::Millis;
+use lavendergauge_lib::name::Name;
+use lavendergauge_lib::queue;
+use lavendergauge_lib::queue::Queue;
+use lavendergauge_lib::queue::Waiting;
+use lavendergauge_lib::retry;
+use lavendergauge_lib::route;
+use lavendergauge_lib::route::Announced;
+use lavendergauge_lib::route::Key;
+use lavendergauge_lib::route::Table;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::clock;
+use crate::config;
+use crate::entry::Entry;
+use crate::entry_call::Call;
+
+/// Interval at which announcements are taken in and waiting requests looked at.
+const TICK: Duration = Duration::from_millis(20);
+/// Most waiting requests.
+const QUEUE_LIMIT: usize = 1024;
+
+/// Why there is no place for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No target takes requests.
+    NoTarget,
+    /// Too many requests wait.
+    Full,
+    /// It would not start before its deadline.
+    Late,
+    /// It waited as long as it may.
+    Waited,
+}
+
+struct State {
+    table: Table,
+    queue: Queue<oneshot::Sender<Place>>,
+    retry: retry::Budget,
+    longest_wait: Duration,
+    rng: SmallRng,
+}
+
+/// The entry's queue and its view of the targets.
+pub struct Router {
+    state: Mutex<State>,
+}
+
+impl Default for Router {
+    fn default() -> Self {
+        let policy = lavendergauge_wire::config::Policy::default();
+        Router {
+            state: Mutex::new(State {
+                table: Table::default(),
+                queue: Queue::new(QUEUE_LIMIT),
+                retry: retry::Budget::new(policy.retry_percent),
+                longest_wait: Duration::from_millis(policy.queue_ms),
+                rng: SmallRng::from_rng(&mut rand::rng()),
+            }),
+        }
+    }
+}
+
+/// A request's place at a target, given back when it is dropped.
+pub struct Place {
+    router: Arc<Router>,
+    key: Key,
+    account: Name,
+    /// The target's newest announcement.
+    pub target: Announced,
+    /// What the request's end says about the target.
+    pub result: route::Result,
+}
+
+impl Place {
+    /// Takes in the load that the target states in its answer.
+    pub fn hear(&self, used: u32) {
+        self.router.lock().table.hear(self.key, used);
+    }
+
+    /// Returns the target's key.
+    pub fn key(&self) -> Key {
+        self.key
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = clock::now();
+        let unwanted = {
+            let mut state = self.router.lock();
+            state.table.finish(now, self.key, self.result.clone());
+            state.queue.finish(&self.account);
+            dispatch(&self.router, &mut state, now)
+        };
+        drop(unwanted);
+    }
+}
+
+impl Router {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Takes one retry from the budget; `false` when there is none left.
+    pub fn take_retry(&self) -> bool {
+        self.lock().retry.take()
+    }
+
+    /// Returns the number of targets that take requests.
+    pub fn ready(&self) -> usize {
+        self.lock().table.ready()
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.lock().queue.len()
+    }
+}
+
+/// Gets a place for a request, at another target than those tried if there is one.
+///
+/// # Errors
+/// [`Refusal`] when there is none in time.
+pub async fn acquire(
+    router: &Arc<Router>,
+    call: &Call,
+    weight: u32,
+    tried: &[Key],
+) -> Result<Place, Refusal> {
+    let now = clock::now();
+    let waiting = {
+        let mut state = router.lock();
+        let state = &mut *state;
+        if tried.is_empty() {
+            state.retry.earn();
+        }
+        state.queue.set_weight(&call.account, weight);
+        if state.queue.is_empty()
+            && let Some(key) = state.table.pick(now, tried, &mut state.rng)
+        {
+            state.queue.start(&call.account);
+            state.table.send(key);
+            return place(router, &state.table, key, &call.account).ok_or(Refusal::NoTarget);
+        }
+        if state.table.ready() == 0 {
+            return Err(Refusal::NoTarget);
+        }
+        let (sender, receiver) = oneshot::channel();
+        let until = now + call.left().min(state.longest_wait);
+        let waiting = Waiting { account: call.account.clone(), until, item: sender };
+        let displaced =
+            state.queue.push(now, call.class, waiting).map_err(|refusal| match refusal {
+                queue::Refusal::Full => Refusal::Full,
+                queue::Refusal::Late => Refusal::Late,
+            })?;
+        drop(displaced);
+        receiver
+    };
+    waiting.await.map_err(|_| Refusal::Waited)
+}
+
+fn place(router: &Arc<Router>, table: &Table, key: Key, account: &Name) -> Option<Place> {
+    Some(Place {
+        router: router.clone(),
+        key,
+        account: account.clone(),
+        target: table.target(key)?.announced.clone(),
+        result: route::Result::Neither,
+    })
+}
+
+/// Gives free places to waiting requests; returns those that nobody wants any more.
+#[must_use]
+fn dispatch(router: &Arc<Router>, state: &mut State, now: Millis) -> Vec<Place> {
+    let mut unwanted = Vec::new();
+    while !state.queue.is_empty() {
+        let Some(key) = state.table.pick(now, &[], &mut state.rng) else { break };
+        let Some(waiting) = state.queue.pop(now) else { break };
+        state.table.send(key);
+        if let Some(place) = place(router, &state.table, key, &waiting.account)
+            && let Err(place) = waiting.item.send(place)
+        {
+            unwanted.push(place);
+        }
+    }
+    unwanted
+}
+
+/// Takes in announcements and looks after waiting requests until the entry stops.
+pub async fn run(entry: Arc<Entry>, stopped: watch::Receiver<bool>) {
+    while !*stopped.borrow() || 0 < entry.router.waiting() {
+        tick(&entry, clock::now());
+        time::sleep(TICK).await;
+    }
+}
+
+fn tick(entry: &Entry, now: Millis) {
+    let (announced, policy) = {
+        let core = entry.core();
+        let document = &core.document;
+        let announced = core.members.targets(now, |name| config::is_open(document, name));
+        (announced, document.policy.clone())
+    };
+    let (over, unwanted) = {
+        let mut state = entry.router.lock();
+        if let Some(policy) = policy {
+            state.retry.set_percent(policy.retry_percent);
+            state.longest_wait = Duration::from_millis(policy.queue_ms);
+        }
+        state.table.update(now, announced);
+        let over = state.queue.expire(now, oneshot::Sender::is_closed);
+        (over, dispatch(&entry.router, &mut state, now))
+    };
+    drop((over, unwanted));
+}
--- a/daemon/src/entry_service.rs
+++ b/daemon/src/entry_service.rs
@@ -1,240 +1,344 @@
-//! The entry's side of requests: picks a target, and recovers the outcome when it is in doubt.
+//! The entry's side of requests: who runs one, and what the caller learns.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
-use bytes::Bytes;
 use hyper::HeaderMap;
-use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::AUTHORIZATION;
-use hyper::header::CONTENT_LENGTH;
-use hyper::header::HOST;
-use hyper::http::request::Parts;
-use lavendergauge_lib::name::Name;
+use hyper::header::HeaderValue;
+use hyper::header::LOCATION;
+use hyper::header::RETRY_AFTER;
 use lavendergauge_lib::route;
-use lavendergauge_net::body;
+use lavendergauge_lib::route::Key;
 use lavendergauge_net::body::Body;
-use lavendergauge_net::client;
 use lavendergauge_wire::VERSION;
-use lavendergauge_wire::codec;
+use lavendergauge_wire::part::Open;
+use lavendergauge_wire::part::Refusal;
 use lavendergauge_wire::problem::Detail;
 use lavendergauge_wire::problem::Outcome;
 use lavendergauge_wire::request::Ticket;
-use sha2::Digest;
-use sha2::Sha256;
+use smallvec::SmallVec;
+use tokio::time;
 
 use crate::access;
-use crate::agent_service::OUTCOME_HEADER;
-use crate::agent_service::TICKET_HEADER;
 use crate::clock;
-use crate::config;
 use crate::entry::Entry;
+use crate::entry_answer;
+use crate::entry_answer::OUTCOME_HEADER;
+use crate::entry_call;
+use crate::entry_call::Call;
+use crate::entry_claim;
+use crate::entry_claim::Held;
+use crate::entry_claim::Stake;
+use crate::entry_exchange::Event;
+use crate::entry_exchange::Exchange;
+use crate::entry_follow;
+use crate::entry_follow::Followed;
+use crate::entry_outcome;
+use crate::entry_route;
+use crate::entry_route::Place;
 use crate::problem;
 
-/// Header in which a caller names its request.
-pub const KEY_HEADER: &str = "idempotency-key";
-/// Header in which a caller marks a request as idempotent or not.
-pub const IDEMPOTENT_HEADER: &str = "lavendergauge-idempotent";
-/// Header in which a caller says how long it waits, in milliseconds.
-pub const DEADLINE_HEADER: &str = "lavendergauge-deadline-ms";
-/// Header in which a caller names its client account.
-pub const ACCOUNT_HEADER: &str = "lavendergauge-account";
-/// Deadline of a request whose caller names none.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
-/// Most bytes of a request's body.
-const REQUEST_LIMIT: usize = 4 << 20;
-/// Most targets that one request is offered to.
-const ATTEMPTS: u32 = 4;
+pub use crate::entry_call::ACCOUNT_HEADER;
+pub use crate::entry_call::KEY_HEADER;
+
+/// Header that carries the key under which the outcome can be asked for.
+pub const REQUEST_HEADER: &str = "lavendergauge-request";
+/// Most turns that one request gets at agents.
+const TURNS: u32 = 8;
+/// Advice on when to come back, in seconds.
+const RETRY_AFTER_S: u64 = 1;
 
 /// Answers one caller's request.
 pub async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
-    let (head, body) = request.into_parts();
-    let account = text(&head.headers, ACCOUNT_HEADER).to_owned();
-    if let Err(detail) = prove(&entry, &head.headers, &account) {
-        return problem::response(&detail);
+    if let Err(detail) = prove(&entry, request.headers()) {
+        return with_outcome(problem::response(&detail), Outcome::NotRun);
     }
-    let Ok(body) = body::collect(body, REQUEST_LIMIT).await else {
-        return problem::bad_input("body", "cannot be read, or is longer than 4 MB");
+    let mut call = match entry_call::read(request).await {
+        Ok(call) => call,
+        Err(error) => return with_outcome(malformed(&error), Outcome::NotRun),
     };
-    if !entry.core().document.accounts.iter().any(|known| known.name == account) {
-        let text = format!("there is no client account `{account}`");
-        return problem::bad_input(ACCOUNT_HEADER, text);
-    }
-    let key = match text(&head.headers, KEY_HEADER) {
-        "" => format!("{:032x}", rand::random::<u128>()),
-        key => key.to_owned(),
+    let weight = {
+        let core = entry.core();
+        let mut accounts = core.document.accounts.iter();
+        accounts.find(|known| known.name == call.account.as_str()).map(|known| known.weight)
     };
-    for attempt in 0..ATTEMPTS {
-        let Some(ticket) = draw(&entry, &head, &account, &key, attempt, &body) else {
-            let text = "no target has a free slot";
-            return problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no capacity", text);
-        };
-        match offer(&entry, &head, &body, ticket).await {
-            Offer::Answer(response) => return response,
-            Offer::NotRun => {}
-        }
+    let Some(weight) = weight else {
+        let text = format!("there is no client account `{}`", call.account);
+        let response = problem::bad_input(entry_call::ACCOUNT_HEADER, text);
+        return with_outcome(response, Outcome::NotRun);
+    };
+    let mut response = serve(&entry, &mut call, weight.get()).await;
+    if let Ok(key) = HeaderValue::from_str(&call.key) {
+        response.headers_mut().insert(REQUEST_HEADER, key);
     }
-    let text = "every target that was asked refused";
-    problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no capacity", text)
+    response
 }
 
-/// Checks that the caller's key acts for the client account.
-fn prove(entry: &Entry, headers: &HeaderMap, account: &str) -> Result<(), Box<Detail>> {
+/// Checks that the caller's key acts for the client account, before the body is read.
+fn prove(entry: &Entry, headers: &HeaderMap) -> Result<(), Box<Detail>> {
+    let account = entry_call::text(headers, ACCOUNT_HEADER);
     let core = entry.core();
     let caller = access::identify(&entry.access, &core.document, headers, clock::wall_ms())?;
     access::check_account(&caller, account)
 }
 
-enum Offer {
-    Answer(Response<Body>),
-    NotRun,
+fn malformed(error: &entry_call::Error) -> Response<Body> {
+    match error {
+        entry_call::Error::Field(field, text) => problem::bad_input(field, *text),
+        entry_call::Error::Late => {
+            problem::not_run(StatusCode::REQUEST_TIMEOUT, "request timeout", error.to_string())
+        }
+    }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
-    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+/// Says that a request's outcome is in doubt, and how to learn more.
+pub fn in_doubt(call: &Call, text: &str) -> Response<Body> {
+    let status = StatusCode::GATEWAY_TIMEOUT;
+    let mut detail = problem::detail(status, "outcome unknown", Outcome::Unknown, text);
+    detail.hint = match call.given {
+        true => "repeat the request with the same Idempotency-Key".to_owned(),
+        false => "ask for the outcome at the path in the Location header".to_owned(),
+    };
+    let mut response = problem::response(&detail);
+    if let Ok(path) = HeaderValue::from_str(&format!("/v1/outcomes/{}", call.handle)) {
+        response.headers_mut().insert(LOCATION, path);
+    }
+    with_outcome(response, Outcome::Unknown)
 }
 
-/// Picks a target and makes out the ticket for it.
-fn draw(
-    entry: &Entry,
-    head: &Parts,
-    account: &str,
-    key: &str,
-    attempt: u32,
-    body: &Bytes,
-) -> Option<(String, Ticket)> {
-    let mut core = entry.core();
-    let document = core.document.clone();
-    let targets = core.members.targets(clock::now(), |name| config::is_open(&document, name));
-    let index = route::pick(&targets, &mut core.rng);
-    let Some(index) = index else {
-        log::info!(
-            "event=route account={account} key={key} attempt={attempt} decision=refuse \
-             alternatives={} revision={}",
-            targets.len(),
-            document.revision
-        );
-        return None;
-    };
-    let worker = targets[index].worker.clone();
-    core.members.count_sent(&worker);
-    let member = core.members.find(&worker)?;
+/// Puts the outcome into an answer's head, for callers that read no body.
+pub fn with_outcome(mut response: Response<Body>, outcome: Outcome) -> Response<Body> {
+    if let Ok(text) = HeaderValue::from_str(&outcome.to_string()) {
+        response.headers_mut().insert(OUTCOME_HEADER, text);
+    }
+    response
+}
+
+/// How one turn of a request ended.
+enum Turn {
+    /// The caller has its answer.
+    Over(Response<Body>),
+    /// It did not run; another agent may be asked.
+    NotRun(Refusal),
+    /// Its outcome is in doubt.
+    Doubt(String),
+}
+
+/// Gives a request turns at agents until one ends it.
+async fn serve(entry: &Arc<Entry>, call: &mut Call, weight: u32) -> Response<Body> {
+    let mut tried: SmallVec<[Key; 8]> = SmallVec::new();
+    let mut standing: Option<Held> = None;
+    let mut last = "no target could be reached".to_owned();
+    for attempt in 0..TURNS {
+        let place = match entry_route::acquire(&entry.router, call, weight, &tried).await {
+            Ok(place) => place,
+            Err(refusal) => return no_place(entry, call, refusal, standing.as_ref()).await,
+        };
+        let turn = if is_claimed(call) {
+            claimed_turn(entry, call, place, attempt, &mut standing, &mut tried).await
+        } else {
+            tried.push(place.key());
+            drawn_turn(entry, call, place, attempt).await
+        };
+        match turn {
+            Turn::Over(response) => return response,
+            Turn::NotRun(Refusal::Full | Refusal::Fenced) => {}
+            Turn::NotRun(_) if entry.router.take_retry() => {}
+            Turn::NotRun(refusal) => {
+                last = format!("refused: {refusal:?}");
+                break;
+            }
+            Turn::Doubt(_) if may_repeat(call) && entry.router.take_retry() => {}
+            Turn::Doubt(text) => return in_doubt(call, &text),
+        }
+        if call.left().is_zero() {
+            last = "the deadline has passed".to_owned();
+            break;
+        }
+    }
+    refuse("no capacity", &last)
+}
+
+fn may_repeat(call: &Call) -> bool {
+    call.idempotent && call.is_whole() && !call.left().is_zero()
+}
+
+fn refuse(title: &str, text: &str) -> Response<Body> {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut detail = problem::detail(status, title, Outcome::NotRun, text);
+    detail.retry_after_s = RETRY_AFTER_S;
+    with_outcome(problem::response(&detail), Outcome::NotRun)
+}
+
+/// Answers a request for which there is no place.
+///
+/// With a key that the caller gave, only a look at the claims tells whether the
+/// request ran before, at this entry or another.
+async fn no_place(
+    entry: &Arc<Entry>,
+    call: &Call,
+    refusal: entry_route::Refusal,
+    standing: Option<&Held>,
+) -> Response<Body> {
     log::info!(
-        "event=route account={account} key={key} attempt={attempt} decision=send worker={worker} \
-         alternatives={} revision={}",
-        targets.len(),
-        document.revision
+        "event=route account={} key={} decision=refuse reason={refusal:?}",
+        call.account,
+        call.key
     );
-    let marked = text(&head.headers, IDEMPOTENT_HEADER);
-    let safe = !matches!(head.method, Method::POST | Method::PATCH);
-    let deadline = text(&head.headers, DEADLINE_HEADER)
-        .parse()
-        .map_or(DEFAULT_DEADLINE, Duration::from_millis);
+    let text = match refusal {
+        entry_route::Refusal::NoTarget => "no target takes requests",
+        entry_route::Refusal::Full => "too many requests wait",
+        entry_route::Refusal::Late => "it would not start before its deadline",
+        entry_route::Refusal::Waited => "no target had a free slot in time",
+    };
+    if !is_claimed(call) || standing.is_some() {
+        return refuse("no capacity", text);
+    }
+    match entry_claim::find(entry, call).await {
+        Ok(None) => refuse("no capacity", text),
+        Ok(Some(held)) if held.claim.digest != call.digest => mismatch(),
+        Ok(Some(held)) => match entry_follow::follow(entry, call, 0, &held).await {
+            Followed::Over(response) => response,
+            Followed::NeverRan => refuse("no capacity", text),
+        },
+        Err(error) => unclaimed(call, &error.to_string()),
+    }
+}
+
+/// Tells whether others may come with a request that must run once.
+fn is_claimed(call: &Call) -> bool {
+    call.given && !call.idempotent
+}
+
+/// Answers a request of whose key nobody can tell now whether it ran before.
+fn unclaimed(call: &Call, cause: &str) -> Response<Body> {
+    let text = format!("this attempt was not run, and an earlier one may have been: {cause}");
+    let mut response = in_doubt(call, &text);
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
+    response
+}
+
+/// A turn of a request whose key nobody else knows.
+async fn drawn_turn(entry: &Arc<Entry>, call: &mut Call, place: Place, attempt: u32) -> Turn {
     let ticket = Ticket {
         version: VERSION,
-        key: key.to_owned(),
+        key: call.key.clone(),
         attempt,
         entry: entry.name.clone(),
-        worker: worker.to_string(),
-        incarnation: member.frame.incarnation,
-        account: account.to_owned(),
-        idempotent: if marked.is_empty() { safe } else { marked == "true" },
-        deadline_ms: deadline.as_millis() as u64,
-        digest: digest(head, body),
+        worker: place.target.worker.to_string(),
+        incarnation: place.target.incarnation,
+        account: call.account.to_string(),
+        idempotent: call.idempotent,
+        deadline_ms: call.left().as_millis() as u64,
+        digest: call.digest.clone(),
+        whole: call.is_whole(),
+        nonce: format!("{}-{attempt}", entry.incarnation),
+        drawn_ms: place.target.clock.0,
+        claimed: false,
     };
-    Some((member.frame.address.clone(), ticket))
-}
-
-/// Returns the SHA-256 of what makes a request this request.
-fn digest(head: &Parts, body: &Bytes) -> String {
-    let mut hash = Sha256::new();
-    hash.update(head.method.as_str());
-    hash.update([0]);
-    hash.update(head.uri.path_and_query().map_or("", |path| path.as_str()));
-    hash.update([0]);
-    hash.update(body);
-    hash.finalize().iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-/// Offers a request to one target and finds out what became of it.
-async fn offer(
-    entry: &Entry,
-    head: &Parts,
-    body: &Bytes,
-    (address, ticket): (String, Ticket),
-) -> Offer {
-    let deadline = Duration::from_millis(ticket.deadline_ms);
-    let Some(request) = forward(head, body, &address, &ticket) else { return Offer::NotRun };
-    match entry.client.fetch(request, deadline).await {
-        Ok(response) if text(response.headers(), OUTCOME_HEADER) == "not-run" => Offer::NotRun,
-        Ok(response) => {
-            let (mut head, body) = response.into_parts();
-            head.headers.remove(OUTCOME_HEADER);
-            Offer::Answer(Response::from_parts(head, body::full(body)))
-        }
-        Err(error) if error.never_sent() => Offer::NotRun,
-        Err(error) => recover(&entry.client, &address, &ticket, &error).await,
-    }
+    hand_over(entry, call, place, ticket).await
 }
 
-fn forward(head: &Parts, body: &Bytes, address: &str, ticket: &Ticket) -> Option<Request<Body>> {
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let mut request = Request::builder()
-        .method(head.method.clone())
-        .uri(format!("http://{address}{path}"))
-        .header(TICKET_HEADER, STANDARD.encode(codec::pack(ticket).ok()?))
-        .body(body::full(body.clone()))
-        .ok()?;
-    for (name, value) in &head.headers {
-        if !matches!(*name, AUTHORIZATION | CONTENT_LENGTH | HOST) {
-            request.headers_mut().append(name, value.clone());
+/// A turn of a request whose key the caller gave, and may have given to others too.
+async fn claimed_turn(
+    entry: &Arc<Entry>,
+    call: &mut Call,
+    mut place: Place,
+    attempt: u32,
+    standing: &mut Option<Held>,
+    tried: &mut SmallVec<[Key; 8]>,
+) -> Turn {
+    let version = standing.as_ref().map_or(0, |held| held.version);
+    match entry_claim::stake(entry, call, &place, version).await {
+        Stake::Mine(held) => {
+            let ticket = entry_claim::ticket(entry, call, attempt, &held);
+            *standing = Some(held);
+            tried.push(place.key());
+            hand_over(entry, call, place, ticket).await
+        }
+        Stake::Theirs(held) => {
+            place.result = route::Result::Neither;
+            drop(place);
+            match entry_follow::follow(entry, call, attempt, &held).await {
+                Followed::Over(response) => Turn::Over(response),
+                Followed::NeverRan => {
+                    *standing = Some(held);
+                    Turn::NotRun(Refusal::Fenced)
+                }
+            }
         }
+        Stake::Mismatch => Turn::Over(mismatch()),
+        Stake::Unavailable(text) => Turn::Over(unclaimed(call, &text)),
     }
-    request.headers_mut().insert(KEY_HEADER, ticket.key.parse().ok()?);
-    Some(request)
-}
-
-/// Asks the agent, over a new connection, what became of a request in doubt.
-async fn recover(
-    client: &client::Client,
-    address: &str,
-    ticket: &Ticket,
-    error: &client::Error,
-) -> Offer {
-    log::warn!(
-        "event=in-doubt key={} worker={} cause=\"{error}\"",
-        Name::from(&ticket.key),
+}
+
+/// Says that the key was used with another request.
+pub fn mismatch() -> Response<Body> {
+    let text = "the key was used with another request";
+    let status = StatusCode::UNPROCESSABLE_ENTITY;
+    let mut detail = problem::detail(status, "key mismatch", Outcome::NotRun, text);
+    detail.field = KEY_HEADER.to_owned();
+    detail.hint = "use a new key for each request".to_owned();
+    with_outcome(problem::response(&detail), Outcome::NotRun)
+}
+
+/// Hands a request over to the agent of its place.
+async fn hand_over(entry: &Arc<Entry>, call: &mut Call, mut place: Place, ticket: Ticket) -> Turn {
+    log::info!(
+        "event=route account={} key={} attempt={} decision=send worker={}",
+        ticket.account,
+        ticket.key,
+        ticket.attempt,
         ticket.worker
     );
-    let fresh = client.fresh();
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(format!("http://{address}/internal/ask"))
-        .header(TICKET_HEADER, STANDARD.encode(codec::pack(ticket).unwrap_or_default()))
-        .body(body::empty());
-    let Ok(request) = request else { return Offer::Answer(in_doubt()) };
-    match fresh.fetch(request, Duration::from_secs(2)).await {
-        Ok(response) if text(response.headers(), OUTCOME_HEADER) == "not-run" => Offer::NotRun,
-        Ok(response) if text(response.headers(), OUTCOME_HEADER) == "ran" => {
-            let (mut head, body) = response.into_parts();
-            head.headers.remove(OUTCOME_HEADER);
-            Offer::Answer(Response::from_parts(head, body::full(body)))
+    if !call.given {
+        call.handle = entry_outcome::handle(&ticket);
+    }
+    let open = Open {
+        ticket,
+        method: call.method.to_string(),
+        path: call.path.clone(),
+        headers: call.headers.clone(),
+        from: 0,
+    };
+    let mut exchange = Exchange::new(entry, place.target.address.as_str(), open);
+    let left = call.left();
+    let event = time::timeout(left, exchange.run(call)).await;
+    if let Some(used) = exchange.used() {
+        place.hear(used);
+    }
+    match event {
+        Ok(Event::Head(head)) => {
+            Turn::Over(entry_answer::response(&head, exchange, Some(place)).await)
+        }
+        Ok(Event::Refused(refusal)) => {
+            place.result = match refusal {
+                Refusal::Full => route::Result::Full,
+                Refusal::Unreachable => route::Result::Failed,
+                _ => route::Result::Neither,
+            };
+            match refusal {
+                Refusal::Mismatch => Turn::Over(mismatch()),
+                refusal => Turn::NotRun(refusal),
+            }
+        }
+        Ok(Event::Dropped) => Turn::Over(dropped()),
+        Ok(Event::Doubt(text)) => {
+            place.result = route::Result::Failed;
+            Turn::Doubt(text)
         }
-        _ => Offer::Answer(in_doubt()),
+        Ok(_) => Turn::Doubt("the answer has no head".to_owned()),
+        Err(_) => Turn::Doubt("no answer before the deadline".to_owned()),
     }
 }
 
-fn in_doubt() -> Response<Body> {
-    problem::response(&problem::detail(
-        StatusCode::GATEWAY_TIMEOUT,
-        "outcome unknown",
-        Outcome::Unknown,
-        "the target gave no answer; repeat the request with the same Idempotency-Key to learn more",
-    ))
+/// Says that a request ran and that its answer is no longer kept.
+pub fn dropped() -> Response<Body> {
+    let text = "the request ran, and its answer is no longer kept";
+    let detail = problem::detail(StatusCode::GONE, "answer not kept", Outcome::Ran, text);
+    with_outcome(problem::response(&detail), Outcome::Ran)
 }
--- /dev/null
+++ b/daemon/src/entry_upload.rs
@@ -0,0 +1,117 @@
+//! A request's body on its way to an agent.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::channel::Sender;
+use hyper::body::Incoming;
+use lavendergauge_net::body;
+use lavendergauge_net::body::Body;
+use lavendergauge_net::body::Cause;
+use lavendergauge_net::parts;
+use lavendergauge_net::parts::MARK_EVERY;
+use lavendergauge_wire::part::End;
+use lavendergauge_wire::part::Headers;
+use lavendergauge_wire::part::Open;
+use lavendergauge_wire::part::Part;
+use sha2::Digest;
+use sha2::Sha256;
+use tokio::sync::oneshot;
+use tokio::time;
+
+use crate::agent_answer::push_data;
+use crate::entry_call::Call;
+use crate::entry_call::trailer_lines;
+
+/// Starts the rest of a long body once the agent has admitted the request.
+#[derive(Debug, Default)]
+pub struct Signal(Option<oneshot::Sender<()>>);
+
+impl Signal {
+    /// Starts it; does nothing the second time.
+    pub fn send(&mut self) {
+        if let Some(sender) = self.0.take() {
+            let _ = sender.send(());
+        }
+    }
+}
+
+/// Makes the body that hands a request over.
+///
+/// A long body's rest is taken out of the call only when the signal comes, so
+/// that a request which was refused can be offered to another agent.
+pub fn body(open: &Open, call: &mut Call) -> (Body, Signal) {
+    let mut parts = vec![Part::Open(Box::new(open.clone()))];
+    push_data(&mut parts, call.begun.clone());
+    if call.is_whole() {
+        parts.push(Part::End(End {
+            length: call.begun.len() as u64,
+            digest: Bytes::copy_from_slice(&Sha256::digest(&call.begun)),
+            trailers: call.trailers.clone(),
+        }));
+        return (body::full(parts::encode(&parts).unwrap_or_default()), Signal::default());
+    }
+    let (signal, admitted) = oneshot::channel();
+    let (sender, body) = body::channel();
+    let upload = Upload { sender, rest: call.rest.clone(), begun: call.begun.clone() };
+    tokio::spawn(upload.run(parts, admitted));
+    (body, Signal(Some(signal)))
+}
+
+struct Upload {
+    sender: Sender<Bytes, Cause>,
+    rest: Option<std::sync::Arc<tokio::sync::Mutex<Incoming>>>,
+    begun: Bytes,
+}
+
+impl Upload {
+    /// Sends the first parts, waits to be admitted, and sends the rest.
+    async fn run(mut self, first: Vec<Part>, mut admitted: oneshot::Receiver<()>) {
+        if self.send(&first).await.is_err() {
+            return;
+        }
+        loop {
+            match time::timeout(MARK_EVERY, &mut admitted).await {
+                Ok(Ok(())) => break,
+                Ok(Err(_)) => return self.sender.abort("not wanted".into()),
+                Err(_) if self.send(&[Part::Mark]).await.is_err() => return,
+                Err(_) => {}
+            }
+        }
+        let Some(rest) = self.rest.take() else { return };
+        let mut rest = rest.lock().await;
+        match self.send_rest(&mut rest).await {
+            Ok(end) => drop(self.send(&[Part::End(end)]).await),
+            Err(cause) => self.sender.abort(cause),
+        }
+    }
+
+    async fn send(&mut self, parts: &[Part]) -> Result<(), Cause> {
+        Ok(self.sender.send_data(parts::encode(parts)?).await?)
+    }
+
+    async fn send_rest(&mut self, rest: &mut Incoming) -> Result<End, Cause> {
+        let mut hash = Sha256::new_with_prefix(&self.begun);
+        let mut length = self.begun.len() as u64;
+        let mut trailers = Headers::new();
+        loop {
+            let Ok(frame) = time::timeout(MARK_EVERY, rest.frame()).await else {
+                self.send(&[Part::Mark]).await?;
+                continue;
+            };
+            match frame.transpose()?.map(hyper::body::Frame::into_data) {
+                Some(Ok(data)) => {
+                    hash.update(&data);
+                    length += data.len() as u64;
+                    let mut parts = Vec::new();
+                    push_data(&mut parts, data);
+                    self.send(&parts).await?;
+                }
+                Some(Err(other)) => trailers = trailer_lines(other),
+                None => {
+                    let digest = Bytes::copy_from_slice(&hash.finalize());
+                    return Ok(End { length, digest, trailers });
+                }
+            }
+        }
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,8 +2,10 @@
 
 pub mod access;
 pub mod agent;
+pub mod agent_answer;
 pub mod agent_command;
 pub mod agent_report;
+pub mod agent_run;
 pub mod agent_service;
 pub mod agent_task;
 pub mod api;
@@ -23,8 +25,16 @@
 pub mod duty_run;
 pub mod embedded;
 pub mod entry;
+pub mod entry_answer;
+pub mod entry_call;
+pub mod entry_claim;
 pub mod entry_control;
+pub mod entry_exchange;
+pub mod entry_follow;
+pub mod entry_outcome;
+pub mod entry_route;
 pub mod entry_service;
+pub mod entry_upload;
 pub mod job;
 pub mod launch;
 pub mod logs;
--- a/daemon/src/member.rs
+++ b/daemon/src/member.rs
@@ -8,7 +8,7 @@
 use lavendergauge_lib::fleet::Report;
 use lavendergauge_lib::fleet::Task;
 use lavendergauge_lib::name::Name;
-use lavendergauge_lib::route::Target;
+use lavendergauge_lib::route::Announced;
 use lavendergauge_wire::announce::Frame;
 use lavendergauge_wire::announce::Health;
 use lavendergauge_wire::announce::Phase;
@@ -25,8 +25,6 @@
     pub frame: Frame,
     /// When that came.
     pub seen: Millis,
-    /// Requests sent to it since then.
-    pub sent: u32,
 }
 
 /// All agents that announce themselves here.
@@ -44,7 +42,7 @@
             known.frame.incarnation == frame.incarnation && frame.sequence <= known.frame.sequence
         });
         if !stale {
-            self.members.insert(name, Member { frame, seen: now, sent: 0 });
+            self.members.insert(name, Member { frame, seen: now });
         }
     }
 
@@ -72,21 +70,18 @@
         self.members.get(name)
     }
 
-    /// Counts a request as sent to a worker, until its next announcement.
-    pub fn count_sent(&mut self, name: &Name) {
-        if let Some(member) = self.members.get_mut(name) {
-            member.sent += 1;
-        }
-    }
-
     /// Returns the targets as routing sees them; `open` tells of each data centre.
-    pub fn targets(&self, now: Millis, open: impl Fn(&str) -> bool) -> Vec<Target> {
+    pub fn targets(&self, now: Millis, open: impl Fn(&str) -> bool) -> Vec<Announced> {
         self.members
             .iter()
-            .map(|(name, member)| Target {
+            .map(|(name, member)| Announced {
                 worker: name.clone(),
+                address: Name::from(&member.frame.address),
+                incarnation: member.frame.incarnation,
+                sequence: member.frame.sequence,
+                clock: Millis(member.frame.clock_ms),
                 slots: member.frame.slots,
-                used: member.frame.load.slots_used + member.sent,
+                used: member.frame.load.slots_used,
                 ready: open(&member.frame.data_centre)
                     && !member.frame.leaving
                     && member.frame.health == Health::Good
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -54,10 +54,11 @@
 pub const VERSION: u32 = 1;
 
 /// The JSON Schemas of the administration API's bodies, by module.
-pub const SCHEMAS: [(&str, &str); 5] = [
+pub const SCHEMAS: [(&str, &str); 6] = [
     ("announce", include_str!("../schema/announce.json")),
     ("api", include_str!("../schema/api.json")),
     ("config", include_str!("../schema/config.json")),
     ("job", include_str!("../schema/job.json")),
     ("problem", include_str!("../schema/problem.json")),
+    ("request", include_str!("../schema/request.json")),
 ];
