--- a/daemon/src/duty_follow.rs
+++ b/daemon/src/duty_follow.rs
@@ -105,9 +105,10 @@
             None if record.state == State::Waiting => Seats::new(),
             _ => continue,
         };
-        fresh.push((name.clone(), duty_book::submission(record, seats)));
+        fresh.push((record.submitted_ms, name.clone(), duty_book::submission(record, seats)));
     }
-    for (name, submission) in fresh {
+    fresh.sort_by_key(|(submitted, ..)| *submitted);
+    for (_, name, submission) in fresh {
         duty.planner.apply(now, Event::Submit(submission));
         duty.book.planned.insert(name);
     }
--- a/fakes/src/runtime.rs
+++ b/fakes/src/runtime.rs
@@ -39,6 +39,10 @@
     pub started: Instant,
     /// When it was over, if it is.
     pub ended: Option<Instant>,
+    /// Whether it came to its own end.
+    pub done: bool,
+    /// Reference of the checkpoint that it was resumed from; empty for none.
+    pub resumed: String,
 }
 
 #[derive(Clone, Debug)]
@@ -116,7 +120,9 @@
         let lapsed = (task.until <= now).then_some(task.until);
         let Some(at) = done.or(lapsed) else { continue };
         task.state = if done.is_some() { "done" } else { "lapsed" };
-        state.executions[task.execution].ended = Some(at);
+        let execution = &mut state.executions[task.execution];
+        execution.ended = Some(at);
+        execution.done = done.is_some();
     }
 }
 
@@ -143,7 +149,9 @@
     let now = Instant::now();
     let payload = request["payload"].as_str().unwrap_or_default();
     let run_ms = payload.split(' ').find_map(|word| word.strip_prefix("run_ms=")?.parse().ok());
-    state.executions.push(Execution { task: id.clone(), started: now, ended: None });
+    let resumed = request["checkpoint"].as_str().unwrap_or_default().to_owned();
+    let execution = Execution { task: id.clone(), started: now, ended: None, done: false, resumed };
+    state.executions.push(execution);
     let task = Task {
         until: now + lease(request),
         done_at: run_ms.map(|run_ms| now + Duration::from_millis(run_ms)),
--- a/lib/src/life.rs
+++ b/lib/src/life.rs
@@ -116,16 +116,20 @@
     match change {
         Change::Stake { attempt, epoch } => stake(life, attempt, epoch),
         Change::Launched(attempt) => launched(life, attempt),
-        Change::Withdraw(attempt) => {
-            over(life, attempt, State::Waiting, &[State::Starting, State::Stopping])
+        Change::Withdraw(attempt) => over(
+            life,
+            attempt,
+            unless_cancelled(life, State::Waiting),
+            &[State::Starting, State::Stopping],
+        ),
+        Change::Lose(attempt, Repeat::Allowed) | Change::Yield(attempt, Repeat::Allowed) => {
+            over(life, attempt, unless_cancelled(life, State::Waiting), &LIVE)
         }
-        Change::Lose(attempt, repeat) => {
-            let goal = if repeat == Repeat::Allowed { State::Waiting } else { State::Unknown };
-            over(life, attempt, goal, &LIVE)
+        Change::Lose(attempt, Repeat::Never) => {
+            over(life, attempt, unless_cancelled(life, State::Unknown), &LIVE)
         }
-        Change::Yield(attempt, repeat) => {
-            let goal = if repeat == Repeat::Allowed { State::Waiting } else { State::Failed };
-            over(life, attempt, goal, &LIVE)
+        Change::Yield(attempt, Repeat::Never) => {
+            over(life, attempt, unless_cancelled(life, State::Failed), &LIVE)
         }
         Change::Finish(attempt) => over(life, attempt, State::Done, &LIVE),
         Change::Fail(attempt) => over(life, attempt, State::Failed, &LIVE),
@@ -160,18 +164,21 @@
     }
 }
 
-/// Ends an attempt; a cancelled job stays cancelled unless it ended by itself.
+/// Returns where a job goes whose attempt was stopped or lost.
+fn unless_cancelled(life: Life, goal: State) -> State {
+    if life.state == State::Stopping { State::Cancelled } else { goal }
+}
+
+/// Ends an attempt.
 fn over(life: Life, attempt: u32, goal: State, from: &[State]) -> Verdict {
     if life.attempt != attempt {
         return Verdict::Refused;
     }
-    if !from.contains(&life.state) {
-        let already = life.state == goal || life.state == State::Cancelled;
-        return if already { Verdict::Already } else { Verdict::Refused };
+    if from.contains(&life.state) {
+        return Verdict::Write(Life { state: goal, ..life });
     }
-    let ended = matches!(goal, State::Done | State::Failed);
-    let cancelled = life.state == State::Stopping && !ended;
-    Verdict::Write(Life { state: if cancelled { State::Cancelled } else { goal }, ..life })
+    let already = life.state == goal || life.state == State::Cancelled;
+    if already { Verdict::Already } else { Verdict::Refused }
 }
 
 fn cancel(life: Life) -> Verdict {
