net: the client speaks TLS with peers that an authority vouches for

The listener side alone is no use. The connector speaks TLS when it is given an authority, so that every call of a fleet client is covered by one place.

Tests: the three of tls_reload now go through the client (3 passed).

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -130,7 +130,7 @@
         incarnation: rand::random(),
         runtime: Runtime::new(role.runtime_address.clone()),
         access: settings.access.clone(),
-        client: Client::for_fleet(&settings.access.fleet_key),
+        client: Client::for_fleet(&settings.access.fleet_key, None),
         target_client: agent_service::target_client(role.connections),
         answers: agent_service::Answers::default(),
         core: Mutex::new(Core {
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -158,7 +158,7 @@
     let control = TcpListener::bind(&role.control_address).await?;
     let service_address = service.local_addr()?;
     let control_address = control.local_addr()?;
-    let client = Client::for_fleet(&settings.access.fleet_key);
+    let client = Client::for_fleet(&settings.access.fleet_key, None);
     let entry = Arc::new(Entry {
         name: settings.name.clone(),
         control_address: control_address.to_string(),
--- a/net/src/client.rs
+++ b/net/src/client.rs
@@ -21,6 +21,7 @@
 use crate::body;
 use crate::body::Body;
 use crate::connector::Connector;
+use crate::tls::Trust;
 
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -91,6 +92,7 @@
 pub struct Client {
     pool: Pool<Connector, Body>,
     fleet_key: Option<HeaderValue>,
+    trust: Option<Trust>,
 }
 
 impl Default for Client {
@@ -107,13 +109,24 @@
     /// let _client = Client::new(Options { idle: 0, ..Options::default() });
     /// ```
     pub fn new(options: Options) -> Self {
+        Client::with_trust(options, None)
+    }
+
+    /// Makes a client that speaks TLS with peers whose certificate an authority has signed.
+    ///
+    /// ```
+    /// use lavendergauge_net::client::{Client, Options};
+    /// let _client = Client::with_trust(Options::default(), None);
+    /// ```
+    pub fn with_trust(options: Options, trust: Option<Trust>) -> Self {
+        let connector = Connector::new(options.connections, trust.clone());
         let pool = Pool::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(options.idle_timeout)
             .pool_max_idle_per_host(options.idle)
             .retry_canceled_requests(true)
-            .build(Connector::new(options.connections));
-        Client { pool, fleet_key: None }
+            .build(connector);
+        Client { pool, fleet_key: None, trust }
     }
 
     /// Makes a client that shows the fleet's key with every request; an empty key shows nothing.
@@ -121,14 +134,14 @@
     /// It is for calls to the fleet's own processes and to nobody else.
     ///
     /// ```no_run
-    /// let _client = lavendergauge_net::client::Client::for_fleet("0123456789abcdef");
+    /// let _client = lavendergauge_net::client::Client::for_fleet("0123456789abcdef", None);
     /// ```
-    pub fn for_fleet(key: &str) -> Self {
+    pub fn for_fleet(key: &str, trust: Option<Trust>) -> Self {
         let mut fleet_key = HeaderValue::from_str(key).ok().filter(|key| !key.is_empty());
         if let Some(key) = &mut fleet_key {
             key.set_sensitive(true);
         }
-        Client { fleet_key, ..Client::default() }
+        Client { fleet_key, ..Client::with_trust(Options::default(), trust) }
     }
 
     /// Makes a client that shows the same key and opens a new connection for each request.
@@ -138,7 +151,8 @@
     /// ```
     pub fn fresh(&self) -> Self {
         let options = Options { idle: 0, ..Options::default() };
-        Client { fleet_key: self.fleet_key.clone(), ..Client::new(options) }
+        let fresh = Client::with_trust(options, self.trust.clone());
+        Client { fleet_key: self.fleet_key.clone(), ..fresh }
     }
 
     /// Sends a request and returns the answer's head with its body still streaming.
--- a/net/src/tls.rs
+++ b/net/src/tls.rs
@@ -23,7 +23,9 @@
 use tokio_rustls::server;
 
 /// Protocols that a listener offers, in order of preference.
-const PROTOCOLS: [&[u8]; 2] = [b"h2", b"http/1.1"];
+const PROTOCOLS: [&[u8]; 2] = [b"h2", HTTP_1];
+/// The protocol that our own clients speak.
+const HTTP_1: &[u8] = b"http/1.1";
 
 /// Why certificates or keys cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -138,10 +140,11 @@
         for certificate in certificates(&authority, &bytes)? {
             roots.add(certificate)?;
         }
-        let config = ClientConfig::builder_with_provider(provider())
+        let mut config = ClientConfig::builder_with_provider(provider())
             .with_safe_default_protocol_versions()?
             .with_root_certificates(roots)
             .with_no_client_auth();
+        config.alpn_protocols = vec![HTTP_1.to_vec()];
         Ok(Trust { config: Arc::new(config) })
     }
 
--- a/net/tests/tls_reload.rs
+++ b/net/tests/tls_reload.rs
@@ -5,12 +5,15 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
 use lavendergauge_net::body;
+use lavendergauge_net::client::Client;
+use lavendergauge_net::client::Options;
 use lavendergauge_net::server;
 use lavendergauge_net::server::Answer;
 use lavendergauge_net::tls::Acceptor;
@@ -23,6 +26,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+/// Deadline of one call.
+const DEADLINE: Duration = Duration::from_secs(10);
+
 /// A folder for PEM files that is removed at the end of the test.
 struct Folder(PathBuf);
 
@@ -81,16 +87,11 @@
 /// Asks once over TLS, trusting one authority.
 async fn ask(address: SocketAddr, authority: &Path) -> Result<String, String> {
     let trust = Trust::load(authority.to_owned()).map_err(|error| error.to_string())?;
-    let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
-    let stream = trust.connect(address.ip(), stream).await.map_err(|error| error.to_string())?;
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| error.to_string())?;
-    tokio::spawn(connection);
-    let request = Request::builder().uri("/").body(body::empty()).expect("request");
-    let answer = sender.send_request(request).await.map_err(|error| error.to_string())?;
-    let bytes = body::collect(answer.into_body(), 64).await.map_err(|error| error.to_string())?;
-    Ok(String::from_utf8_lossy(&bytes).into_owned())
+    let client = Client::with_trust(Options::default(), Some(trust));
+    let uri = format!("http://{address}/");
+    let request = Request::builder().uri(uri).body(body::empty()).expect("request");
+    let answer = client.fetch(request, DEADLINE).await.map_err(|error| error.to_string())?;
+    Ok(String::from_utf8_lossy(answer.body()).into_owned())
 }
 
 #[tokio::test]
