--- a/daemon/src/agent_run.rs
+++ b/daemon/src/agent_run.rs
@@ -10,6 +10,8 @@
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::header::TE;
 use lavendergauge_lib::name::Name;
 use lavendergauge_net::body;
 use lavendergauge_net::body::Body;
@@ -145,6 +147,7 @@
         .body(body)
         .ok()?;
     *request.headers_mut() = header::map(&open.headers);
+    request.headers_mut().insert(TE, HeaderValue::from_static("trailers"));
     Some(request)
 }
 
