duty: tests of succession, and of gangs under faults at each moment of a launch

Agents die, are paused past every lease, or refuse all starts; the planner dies at seven moments of a launch, is paused past its lease, and stops gracefully; a data centre is taken out at five moments of a launch in it. Each ends with all members running or none within a gang lease, a runtime lease and one message. The scenarios share one binary and wait beside each other.

--- /dev/null
+++ b/daemon/tests/faults/main.rs
@@ -0,0 +1,5 @@
+//! Faults of whole clusters, in one binary so that scenarios wait beside each other.
+
+mod duty_succession;
+mod gang_faults;
+mod job_durable;
--- a/testutils/src/cluster.rs
+++ b/testutils/src/cluster.rs
@@ -152,7 +152,7 @@
         panic!("the cluster does not come up");
     }
 
-    /// Waits until every worker has a start permit's revision and is known to every entry.
+    /// Waits until every entry and worker has a configuration, and every entry knows every worker.
     ///
     /// # Panics
     /// When that takes longer than `limit`.
@@ -168,6 +168,9 @@
                 let current =
                     frames.iter().filter(|frame| 0 < frame["revision"].as_u64().unwrap_or(0));
                 ready &= self.workers.len() <= current.count();
+                let answer = self.call(entry, Method::GET, "/v1/config", &Value::Null).await;
+                let document = answer.and_then(|one| codec::from_json::<Document>(one.body()).ok());
+                ready &= document.is_some_and(|document| 0 < document.revision);
             }
             if ready {
                 return;
