config: one order of writes, true answers, and permits that outlive the store's outage

Cause: a lost answer left an operator without one; the loser of a race was not told who won; entries did not know each other, polled, and gave no permit once the store was silent for 2.5 s, so that everything stopped; a restored store took the configuration back; an entry that had read nothing refused requests as bad input.

Change: the one key holds an envelope with a serial number, the newest accepted changes and the entries that may write. A write names the version it replaces and is read back by its mark; one in doubt is ruled out by a write that moves the version. Entries ask one another what they know; lib's writer table gives the moment before which nothing newer was accepted, from the store, from a peer's word, or from the words of every writer. Entries hold one watch each, put an older store right, learn from peers while the store is down, and refuse as not run before they know any configuration. /v1/config/status, history and changes/ID say what stands.

Conclusion: a permit rests on knowledge, not on the store alone.

--- a/daemon/src/api_config.rs
+++ b/daemon/src/api_config.rs
@@ -1,8 +1,5 @@
 //! The configuration as a resource: shown, changed, and where it is in force.
 
-use lavendergauge_wire::api::Behind;
-use lavendergauge_wire::api::Status;
-use lavendergauge_wire::codec;
 use lavendergauge_wire::config::Change;
 use lavendergauge_wire::config::Document;
 use lavendergauge_wire::config::Operation;
@@ -11,20 +8,15 @@
 use crate::api::Call;
 use crate::api::Refusal;
 use crate::api::Reply;
-use crate::clock;
 use crate::config;
-use crate::entry::CONFIG_KEY;
-use crate::entry::Entry;
+use crate::config_change;
+use crate::config_status;
 use crate::preview;
-use crate::store;
-use crate::store::Swap;
 use crate::valid;
 use crate::valid::Fault;
 
 /// Longest identifier of a change, in bytes.
 const ID_LENGTH: usize = 100;
-/// Looks at the newest revision before the change counts as overtaken.
-const WRITE_TRIES: u32 = 4;
 
 /// Shows the configuration in force.
 pub fn show(call: &Call) -> Reply {
@@ -52,27 +44,23 @@
     carry_out(call, &change, &author).await
 }
 
+/// Shows what became of a change.
+pub fn show_change(call: &Call) -> Reply {
+    call.operator()?;
+    Ok(api::json(&config_change::find(&call.entry, call.name(0))?))
+}
+
+/// Lists the newest accepted changes, oldest first.
+pub fn list_changes(call: &Call) -> Reply {
+    call.operator()?;
+    Ok(api::json(&config_change::history(&call.entry)))
+}
+
 /// Tells where the configuration is in force, as this entry sees it.
 pub fn status(call: &Call) -> Reply {
     call.operator()?;
-    let frames = call.frames();
-    let core = call.entry.core();
-    let revision = core.document.revision;
-    let late = frames.iter().filter(|frame| frame.revision < revision);
-    let now = clock::now();
-    let status = Status {
-        entry: call.entry.name.clone(),
-        revision,
-        change: core.document.change.clone(),
-        author: core.document.author.clone(),
-        confirmed_ms: core.confirmed.map(|confirmed| now.since(confirmed).as_millis() as u64),
-        workers: u32::try_from(frames.len()).unwrap_or(u32::MAX),
-        behind: late
-            .map(|frame| Behind { worker: frame.worker.clone(), revision: frame.revision })
-            .collect(),
-    };
-    drop(core);
-    call.at_revision(revision, &status)
+    let status = config_status::read(&call.entry);
+    call.at_revision(status.revision, &status)
 }
 
 async fn carry_out(call: &Call, change: &Change, author: &str) -> Reply {
@@ -85,12 +73,15 @@
         scene.document = next(&scene.document, change, author)?;
         return call.at_revision(change.base, &preview::change(&scene));
     }
-    let document = commit(&call.entry, change, author).await?;
+    let document = config_change::submit(&call.entry, change, author).await?;
     call.at_revision(document.revision, &document)
 }
 
 /// Returns the configuration that a change makes.
-fn next(document: &Document, change: &Change, author: &str) -> Result<Document, Refusal> {
+///
+/// # Errors
+/// The problem document that names who won, or the field at fault.
+pub fn next(document: &Document, change: &Change, author: &str) -> Result<Document, Refusal> {
     let next = config::apply(document, change, author).map_err(|error| match error {
         config::Error::Invalid { field, text } => Fault::new(&field, text, "").problem(),
         stale => {
@@ -102,39 +93,3 @@
     valid::document(&next).map_err(Fault::problem)?;
     Ok(next)
 }
-
-/// Writes a change; a lost answer is resolved by reading back.
-async fn commit(entry: &Entry, change: &Change, author: &str) -> Result<Document, Refusal> {
-    let known = entry.core().document.revision;
-    if known < change.base {
-        // The caller heard of a newer revision at another entry.
-        let asked = clock::now();
-        let item = entry.store.load(CONFIG_KEY).await.map_err(|error| api::unread(&error))?;
-        entry.learn(asked, item.as_ref());
-    }
-    for _ in 0..WRITE_TRIES {
-        let (document, version) = {
-            let core = entry.core();
-            (core.document.clone(), core.version)
-        };
-        if document.change == change.id {
-            return Ok(document);
-        }
-        let next = next(&document, change, author)?;
-        let bytes = codec::to_json(&next).unwrap_or_default();
-        let asked = clock::now();
-        let own = |item: &store::Item| {
-            codec::from_json::<Document>(&item.value).is_ok_and(|found| found.change == change.id)
-        };
-        let written = entry.store.swap_sure(CONFIG_KEY, version, &bytes, 0, own).await;
-        match written.map_err(|error| api::unwritten(&error))? {
-            Swap::Done(version) => {
-                let item = store::Item { key: CONFIG_KEY.to_owned(), value: bytes, version };
-                entry.learn(asked, Some(&item));
-                return Ok(next);
-            }
-            Swap::Lost(item) => entry.learn(asked, item.as_ref()),
-        }
-    }
-    Err(api::conflict("stale revision", "other changes were accepted first"))
-}
--- a/daemon/src/api_route.rs
+++ b/daemon/src/api_route.rs
@@ -26,6 +26,10 @@
     ShowConfig,
     /// Change the configuration.
     ChangeConfig,
+    /// Show what became of a change.
+    ShowChange,
+    /// List the accepted changes.
+    ListChanges,
     /// Tell where the configuration is in force.
     ShowStatus,
     /// List client accounts.
@@ -111,6 +115,8 @@
 pub const ROUTES: &[Route] = &[
     route(Method::GET, "/v1/config", Operation::ShowConfig, "", "config.Document", "Show the configuration in force"),
     route(Method::POST, "/v1/config/changes", Operation::ChangeConfig, "config.Change", "config.Document", "Change the configuration; with `dry_run` answers api.Preview"),
+    route(Method::GET, "/v1/config/changes/{change}", Operation::ShowChange, "", "config.Made", "Show what became of a change"),
+    route(Method::GET, "/v1/config/history", Operation::ListChanges, "", "[]config.Made", "List the newest accepted changes, oldest first"),
     route(Method::GET, "/v1/config/status", Operation::ShowStatus, "", "api.Status", "Tell where the configuration is in force"),
     route(Method::GET, "/v1/accounts", Operation::ListAccounts, "", "[]config.Account", "List client accounts"),
     route(Method::GET, "/v1/accounts/{account}", Operation::ShowAccount, "", "config.Account", "Show a client account"),
@@ -194,6 +200,8 @@
     match operation {
         Operation::ShowConfig => api_config::show(call),
         Operation::ChangeConfig => api_config::change(call).await,
+        Operation::ShowChange => api_config::show_change(call),
+        Operation::ListChanges => api_config::list_changes(call),
         Operation::ShowStatus => api_config::status(call),
         Operation::ListAccounts => api_account::list(call),
         Operation::ShowAccount => api_account::show(call),
--- a/daemon/src/embedded.rs
+++ b/daemon/src/embedded.rs
@@ -37,6 +37,8 @@
 
 /// Deadline of one call.
 const DEADLINE: Duration = Duration::from_secs(10);
+/// Bound on the entries of a new fleet having read the configuration.
+const READY_LIMIT: Duration = Duration::from_secs(5);
 /// Pause between two looks at something that is waited for.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
@@ -232,6 +234,8 @@
     for _ in 0..plan.entries {
         fleet.add_entry(plan).await?;
     }
+    let ready = || async { fleet.entries.iter().all(|handle| handle.entry.unready().is_none()) };
+    until(READY_LIMIT, "every entry is ready", ready).await?;
     for data_centre in &plan.data_centres {
         for rack in 0..plan.racks {
             for index in 0..plan.workers {
@@ -263,6 +267,17 @@
         Ok(())
     }
 
+    /// Starts one more entry by settings of its own, and returns its index.
+    ///
+    /// # Errors
+    /// When a socket cannot be had.
+    pub async fn start_entry(&mut self, settings: &Settings) -> Result<usize, Error> {
+        if let Role::Entry(role) = &settings.role {
+            self.entries.push(entry::start(settings, role).await?);
+        }
+        Ok(self.entries.len() - 1)
+    }
+
     /// Starts one more worker with its agent and stand-ins.
     ///
     /// # Errors
@@ -429,6 +444,25 @@
     }
 }
 
+/// Waits until something holds.
+///
+/// # Errors
+/// [`Error::Late`] when that takes longer than `limit`.
+pub async fn until<R: Future<Output = bool>>(
+    limit: Duration,
+    what: &str,
+    holds: impl Fn() -> R,
+) -> Result<Duration, Error> {
+    let begun = Instant::now();
+    while !holds().await {
+        if limit <= begun.elapsed() {
+            return Err(Error::Late(limit, what.to_owned()));
+        }
+        time::sleep(LOOK_EVERY / 5).await;
+    }
+    Ok(begun.elapsed())
+}
+
 /// Makes the operations that create client accounts and open data centres.
 ///
 /// ```
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -1,5 +1,6 @@
 //! An entry: takes callers' requests and operators' changes, and may hold the planner's duty.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
@@ -9,6 +10,7 @@
 use std::time::Duration;
 
 use hyper::Request;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use lavendergauge_lib::clock::Millis;
 use lavendergauge_lib::gang_lease;
@@ -18,6 +20,11 @@
 use lavendergauge_net::server::Answer;
 use lavendergauge_wire::codec;
 use lavendergauge_wire::config::Document;
+use lavendergauge_wire::config::Envelope;
+use lavendergauge_wire::config::Statement;
+use lavendergauge_wire::config::Writer;
+use lavendergauge_wire::problem::Detail;
+use lavendergauge_wire::problem::Outcome;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::net::TcpListener;
@@ -27,6 +34,9 @@
 
 use crate::clock;
 use crate::config;
+use crate::config_peer;
+use crate::config_sync;
+use crate::config_view::View;
 use crate::duty;
 use crate::entry_claim;
 use crate::entry_control;
@@ -34,6 +44,7 @@
 use crate::entry_route::Router;
 use crate::entry_service;
 use crate::member;
+use crate::problem;
 use crate::settings;
 use crate::settings::Settings;
 use crate::store::Item;
@@ -41,8 +52,8 @@
 
 /// Key of the configuration in the store.
 pub const CONFIG_KEY: &str = "config/current";
-/// Interval at which an entry asks the store for the configuration.
-const CONFIRM_EVERY: Duration = Duration::from_millis(500);
+/// Time between the word that an entry leaves and the end of listening.
+const LEAVE_GRACE: Duration = Duration::from_millis(700);
 /// Most connections of callers at a time.
 const SERVICE_CONNECTIONS: usize = 4096;
 /// Most connections to the administration API at a time.
@@ -52,10 +63,12 @@
 pub struct Core {
     /// The configuration in force.
     pub document: Document,
-    /// The configuration's version in the store, which a compare-and-swap names.
-    pub version: i64,
-    /// When the newest answered question for the configuration was asked.
-    pub confirmed: Option<Millis>,
+    /// What is known of the configuration's order and of the entries that may write it.
+    pub view: View,
+    /// What other entries last said, by incarnation, and when they were asked.
+    pub peers: HashMap<u64, (Millis, Statement)>,
+    /// Whether the entry is leaving.
+    pub leaving: bool,
     /// The agents that announce themselves here.
     pub members: member::Table,
     /// The gangs whose members announce themselves here.
@@ -76,13 +89,19 @@
     pub control_address: String,
     /// How callers and processes prove themselves.
     pub access: settings::Access,
+    /// Data centre that the entry stands in.
+    pub data_centre: String,
+    /// Addresses to ask for other entries while none is known.
+    pub peers: Vec<String>,
+    /// Held while the configuration is written.
+    pub writing: tokio::sync::Mutex<()>,
     /// Client of the platform's key-value service.
     pub store: Store,
     /// Client towards agents and entries.
     pub client: Client,
     /// Client that opens a new connection for each call, for when old ones are in doubt.
     pub fresh: Client,
-    /// Number of this process.
+    /// Random number drawn at the start, which no other process has.
     pub incarnation: u64,
     /// The queue of requests and the view of the targets.
     pub router: Arc<Router>,
@@ -97,33 +116,59 @@
         self.core.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    /// Takes in a configuration read from the store at `asked`; a lower revision changes nothing.
-    pub fn learn(&self, asked: Millis, item: Option<&Item>) {
-        let document = match item {
-            None => config::empty(),
-            Some(item) => match codec::from_json::<Document>(&item.value) {
-                Ok(document) => document,
-                Err(error) => {
-                    log::error!("event=config-unreadable cause=\"{error}\"");
-                    return;
-                }
-            },
-        };
+    /// Returns this entry as others know it.
+    pub fn writer(&self) -> Writer {
+        Writer {
+            name: self.name.clone(),
+            address: self.control_address.clone(),
+            incarnation: self.incarnation,
+            data_centre: self.data_centre.clone(),
+        }
+    }
+
+    /// Takes in an envelope of the configuration; an older one changes nothing.
+    pub fn learn(&self, envelope: Envelope) {
         let mut core = self.core();
-        if document.revision < core.document.revision {
-            log::error!(
-                "event=config-reverted revision={} stored={}",
-                core.document.revision,
-                document.revision
-            );
+        let document = envelope.document.clone();
+        if !core.view.learn(clock::now(), envelope) {
             return;
         }
-        if core.document.revision < document.revision {
+        if core.document.revision != document.revision {
             log::info!("event=config-in-force revision={}", document.revision);
         }
         core.document = document;
-        core.version = item.map_or(0, |item| item.version);
-        core.confirmed = core.confirmed.max(Some(asked));
+        let listed: Vec<u64> = core.view.envelope().map_or_else(Vec::new, |envelope| {
+            envelope.writers.iter().map(|writer| writer.incarnation).collect()
+        });
+        core.peers.retain(|incarnation, _| listed.contains(incarnation));
+    }
+
+    /// Takes in what the store holds; an older configuration than the known one changes nothing.
+    pub fn learn_item(&self, item: Option<&Item>) {
+        let Some(item) = item else {
+            self.core().view.see_stored(0, 0);
+            return;
+        };
+        match codec::from_json::<Envelope>(&item.value) {
+            Ok(envelope) => {
+                let serial = envelope.serial;
+                self.learn(envelope);
+                self.core().view.see_stored(item.version, serial);
+            }
+            Err(error) => log::error!("event=config-unreadable cause=\"{error}\""),
+        }
+    }
+
+    /// Refuses a call as long as no configuration is known; `None` once one is.
+    pub fn unready(&self) -> Option<Box<Detail>> {
+        if self.core().view.envelope().is_some() {
+            return None;
+        }
+        let text = "the entry has not learnt the configuration yet";
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let mut detail = problem::detail(status, "not ready", Outcome::NotRun, text);
+        detail.retry_after_s = 1;
+        Some(Box::new(detail))
     }
 }
 
@@ -140,13 +185,28 @@
 }
 
 impl Handle {
-    /// Stops taking work, finishes what is in flight and returns.
+    /// Leaves: tells the other entries, finishes what is in flight and returns.
+    ///
+    /// Workers and callers are given a short while to turn to other entries.
     pub async fn stop(self) {
+        self.entry.core().leaving = true;
+        config_sync::leave(&self.entry).await;
+        time::sleep(LEAVE_GRACE).await;
         let _ = self.stop.send(true);
         for task in self.tasks {
             let _ = task.await;
         }
     }
+
+    /// Ends at once, as a killed process does: nothing is finished and nobody is told.
+    pub async fn kill(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        for task in self.tasks {
+            let _ = task.await;
+        }
+    }
 }
 
 /// Starts an entry.
@@ -159,20 +219,25 @@
     let service_address = service.local_addr()?;
     let control_address = control.local_addr()?;
     let client = Client::for_fleet(&settings.access.fleet_key, None);
+    let incarnation = rand::random();
     let entry = Arc::new(Entry {
         name: settings.name.clone(),
         control_address: control_address.to_string(),
         access: settings.access.clone(),
+        data_centre: settings.data_centre.clone(),
+        peers: role.peers.clone(),
+        writing: tokio::sync::Mutex::new(()),
         store: Store::new(role.store_address.clone()),
         client: client.clone(),
         fresh: client.fresh(),
-        incarnation: rand::random(),
+        incarnation,
         router: Arc::default(),
         lease: entry_claim::Lease::default(),
         core: Mutex::new(Core {
             document: config::empty(),
-            version: 0,
-            confirmed: None,
+            view: View::new(incarnation),
+            peers: HashMap::new(),
+            leaving: false,
             members: member::Table::default(),
             gangs: gang_lease::Table::default(),
             settled: HashSet::new(),
@@ -202,22 +267,12 @@
             CONTROL_CONNECTIONS,
             stopped.clone(),
         )),
-        tokio::spawn(confirm(entry.clone(), stopped.clone())),
         tokio::spawn(entry_route::run(entry.clone(), stopped.clone())),
+        tokio::spawn(config_sync::run(entry.clone(), stopped.clone())),
+        tokio::spawn(config_sync::watch(entry.clone(), stopped.clone())),
+        tokio::spawn(config_peer::run(entry.clone(), stopped.clone())),
         tokio::spawn(duty::run(entry.clone(), role.tick, stopped)),
     ];
     log::info!("event=started role=entry service={service_address} control={control_address}");
     Ok(Handle { service_address, control_address, entry, stop, tasks })
 }
-
-/// Asks the store for the configuration again and again.
-async fn confirm(entry: Arc<Entry>, stopped: watch::Receiver<bool>) {
-    while !*stopped.borrow() {
-        let asked = clock::now();
-        match entry.store.load(CONFIG_KEY).await {
-            Ok(item) => entry.learn(asked, item.as_ref()),
-            Err(error) => log::warn!("event=store-failed call=config cause=\"{error}\""),
-        }
-        time::sleep(CONFIRM_EVERY).await;
-    }
-}
--- a/daemon/src/entry_control.rs
+++ b/daemon/src/entry_control.rs
@@ -2,35 +2,22 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use lavendergauge_lib::clock::Millis;
-use lavendergauge_lib::gang::Slot;
-use lavendergauge_lib::gang_lease::Vital;
-use lavendergauge_lib::name::Name;
-use lavendergauge_lib::permit;
 use lavendergauge_net::body;
 use lavendergauge_net::body::Body;
-use lavendergauge_wire::VERSION;
-use lavendergauge_wire::announce::Frame;
-use lavendergauge_wire::announce::Permit;
-use lavendergauge_wire::announce::Phase;
-use lavendergauge_wire::announce::Renewal;
-use lavendergauge_wire::announce::Reply;
-use lavendergauge_wire::codec;
 use serde_json::json;
 
 use crate::access;
+use crate::announcement;
 use crate::api;
 use crate::api::Call;
 use crate::api_route;
 use crate::clock;
-use crate::config;
-use crate::entry::Core;
+use crate::config_peer;
 use crate::entry::Entry;
 use crate::problem;
 
@@ -50,20 +37,26 @@
     }
 }
 
-/// Tells the balancer whether the entry can take requests: it must know the configuration.
+/// Tells the balancer whether the entry takes requests: it knows the configuration and stays.
 fn ready(entry: &Entry) -> Response<Body> {
+    if let Some(detail) = entry.unready() {
+        return problem::response(&detail);
+    }
     let core = entry.core();
-    if core.confirmed.is_some() {
-        return api::json(&json!({"ready": true, "revision": core.document.revision}));
+    if core.leaving {
+        let text = "the entry is leaving";
+        return problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "leaving", text);
     }
-    let text = "the entry has not learnt the configuration yet";
-    problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "not ready", text)
+    api::json(&json!({"ready": true, "revision": core.document.revision}))
 }
 
 /// Answers one call of an operator or caller; its key is looked at before its body is read.
 async fn operate(entry: Arc<Entry>, request: Request<Incoming>) -> api::Reply {
     let (head, body) = request.into_parts();
     let (route, names) = api_route::find(&head.method, head.uri.path())?;
+    if let Some(detail) = entry.unready() {
+        return Err(detail);
+    }
     let caller = {
         let core = entry.core();
         access::identify(&entry.access, &core.document, &head.headers, clock::wall_ms())?
@@ -83,7 +76,9 @@
         return problem::response(&too_long());
     };
     match head.uri.path() {
-        "/internal/announce" => announce(entry, &body),
+        "/internal/announce" => announcement::answer(entry, &body),
+        config_peer::ASK_PATH => config_peer::answer(entry, &body),
+        config_peer::PUSH_PATH => config_peer::take(entry, &body),
         _ => problem::not_run(StatusCode::NOT_FOUND, "not found", "there is no such resource"),
     }
 }
@@ -96,57 +91,3 @@
     detail.field = "body".to_owned();
     Box::new(detail)
 }
-
-fn announce(entry: &Entry, body: &Bytes) -> Response<Body> {
-    let frame: Frame = match codec::unpack(body) {
-        Ok(frame) => frame,
-        Err(error) => return problem::bad_input("body", error.to_string()),
-    };
-    let now = clock::now();
-    let mut core = entry.core();
-    let open = config::is_open(&core.document, &frame.data_centre);
-    let left = core.confirmed.and_then(|confirmed| permit::left(now, confirmed));
-    let permit = left.filter(|_| open).map(|left| Permit {
-        data_centre: frame.data_centre.clone(),
-        revision: core.document.revision,
-        lasts_ms: left.as_millis() as u64,
-    });
-    let reply = Reply {
-        version: VERSION,
-        entry: entry.name.clone(),
-        revision: core.document.revision,
-        permit,
-        entries: vec![entry.control_address.clone()],
-        renewals: Vec::new(),
-        settled: Vec::new(),
-    };
-    let reply = gang_words(&mut core, now, &frame, reply);
-    core.members.announce(now, frame);
-    drop(core);
-    Response::new(body::full(codec::pack(&reply).unwrap_or_default()))
-}
-
-/// Takes in the gang members of an announcement, and extends the leases of whole gangs.
-fn gang_words(core: &mut Core, now: Millis, frame: &Frame, mut reply: Reply) -> Reply {
-    for task in &frame.tasks {
-        let slot = Slot { job: Name::from(&task.job), attempt: task.attempt, member: task.member };
-        let vital = match task.phase {
-            Phase::Running | Phase::Done => Vital::Good,
-            _ => Vital::Bad,
-        };
-        core.gangs.see(now, &slot, task.members, vital);
-        let running = task.phase == Phase::Running;
-        if let Some(left) = core.gangs.left(now, &slot).filter(|_| running) {
-            reply.renewals.push(Renewal {
-                job: task.job.clone(),
-                attempt: task.attempt,
-                member: task.member,
-                lasts_ms: left.as_millis() as u64,
-            });
-        }
-        if core.settled.contains(&(slot.job, slot.attempt)) {
-            reply.settled.push(format!("{}/{}/{}", task.job, task.attempt, task.member));
-        }
-    }
-    reply
-}
--- a/daemon/src/entry_service.rs
+++ b/daemon/src/entry_service.rs
@@ -53,6 +53,9 @@
 
 /// Answers one caller's request.
 pub async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
+    if let Some(detail) = entry.unready() {
+        return with_outcome(problem::response(&detail), Outcome::NotRun);
+    }
     if let Err(detail) = prove(&entry, request.headers()) {
         return with_outcome(problem::response(&detail), Outcome::NotRun);
     }
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -63,6 +63,8 @@
     pub service_address: String,
     /// Address that the administration API and announcements come to.
     pub control_address: String,
+    /// Control addresses of other entries, or of the balancer before them; may be empty.
+    pub peers: Vec<String>,
     /// Address of the platform's key-value service.
     pub store_address: String,
     /// Interval of the planner's ticks.
@@ -195,16 +197,21 @@
     Entry {
         service_address: text_of(file, "entry", "service_address"),
         control_address: text_of(file, "entry", "control_address"),
+        peers: addresses(file, "entry", "peers"),
         store_address: text_of(file, "store", "address"),
         tick: millis(file, "entry", "tick_ms"),
     }
 }
 
+fn addresses(file: &File, section: &str, name: &str) -> Vec<String> {
+    let text = text_of(file, section, name);
+    text.split(',').map(|part| part.trim().to_owned()).filter(|part| !part.is_empty()).collect()
+}
+
 fn agent(file: &File) -> Agent {
-    let entries = text_of(file, "agent", "entries");
     Agent {
         address: text_of(file, "agent", "address"),
-        entries: entries.split(',').map(|entry| entry.trim().to_owned()).collect(),
+        entries: addresses(file, "agent", "entries"),
         announce: millis(file, "agent", "announce_ms"),
         rack: text_of(file, "worker", "rack"),
         accelerators: number(file, "worker", "accelerators"),
--- a/daemon/src/settings_key.rs
+++ b/daemon/src/settings_key.rs
@@ -87,6 +87,7 @@
     key("log", "lines_per_s", Reader::Any, Kind::Number(1..=100_000), Some("500"), "most lines a second; the rest are counted and dropped"),
     key("entry", "service_address", Reader::Entry, Kind::Address, MUST, "address that callers' requests come to"),
     key("entry", "control_address", Reader::Entry, Kind::Address, MUST, "address of the administration API and of announcements"),
+    key("entry", "peers", Reader::Entry, Kind::Addresses, Some(""), "control addresses of other entries, or of the balancer before them, to learn from while the store is down"),
     key("entry", "tick_ms", Reader::Entry, Kind::Number(10..=10_000), Some("100"), "interval of the planner's ticks, in milliseconds"),
     key("entry", "bootstrap_key_hash", Reader::Entry, Kind::Hash, Some(""), "SHA-256 of the first operator key's secret; its id is `bootstrap`"),
     key("store", "address", Reader::Entry, Kind::Address, MUST, "address of the platform's key-value service"),
--- a/daemon/tests/settings_check.rs
+++ b/daemon/tests/settings_check.rs
@@ -42,7 +42,7 @@
         "5: [process] open_access cannot be `maybe`; right is one of yes, no",
         "7: [entry] service_address cannot be `localhost:80`; right is an IP address with a port, \
          such as 10.0.0.5:7001",
-        "9: [entry] tick is no key; right is one of service_address, control_address, tick_ms, \
+        "9: [entry] tick is no key; right is one of service_address, control_address, peers, tick_ms, \
          bootstrap_key_hash",
         "10: [entry] tick_ms cannot be `5`; right is a whole number from 10 to 10000",
         "11: [sore] is no section; right is one of process, log, entry, store, agent, worker, \
--- a/daemon/tests/store_sure.rs
+++ b/daemon/tests/store_sure.rs
@@ -41,16 +41,11 @@
     let kv = Kv::default();
     let server = kv.serve().await;
     let store = Store::new(server.address());
-    kv.set_fault(Fault { lose_answers: 1, ..Fault::default() });
-    let writer = store.clone();
+    let overwrite = Some(("k".to_owned(), "mine, then theirs".to_owned()));
+    kv.set_fault(Fault { lose_answers: 1, overwrite, ..Fault::default() });
     let own = |item: &Item| item.value.starts_with(b"mine");
-    let mine = tokio::spawn(async move { writer.swap_sure("k", 0, b"mine", 0, own).await });
-    while kv.revision() == 0 {
-        tokio::task::yield_now().await;
-    }
-    let other = Store::new(server.address());
-    other.swap("k", 1, b"mine, then theirs", 0).await.expect("written");
-    assert_eq!(mine.await.expect("joined").expect("found out"), Swap::Done(2));
+    let outcome = store.swap_sure("k", 0, b"mine", 0, own).await.expect("found out");
+    assert_eq!(outcome, Swap::Done(2));
 }
 
 #[tokio::test]
@@ -67,13 +62,8 @@
     let kv = Kv::default();
     let server = kv.serve().await;
     let store = Store::new(server.address());
-    kv.set_fault(Fault { lose_answers: 1, ..Fault::default() });
-    let writer = store.clone();
-    let write = tokio::spawn(async move { writer.swap_sure("k", 0, b"mine", 0, is("mine")).await });
-    while kv.revision() == 0 {
-        tokio::task::yield_now().await;
-    }
-    kv.set_fault(Fault { down: true, ..Fault::default() });
+    kv.set_fault(Fault { down_after_write: true, ..Fault::default() });
+    let write = store.swap_sure("k", 0, b"mine", 0, is("mine"));
     let outcome = tokio::time::timeout(Duration::from_secs(8), write).await.expect("bounded");
-    assert!(matches!(outcome.expect("joined"), Err(Error::InDoubt(_))));
+    assert!(matches!(outcome, Err(Error::InDoubt(_))));
 }
--- a/fakes/src/kv.rs
+++ b/fakes/src/kv.rs
@@ -38,6 +38,10 @@
     pub delay_answers: Duration,
     /// Number of writes that take effect and whose answers are then lost.
     pub lose_answers: u32,
+    /// Key and value that another client writes right after the next write whose answer is lost.
+    pub overwrite: Option<(String, String)>,
+    /// The next write takes effect, its answer is lost, and the service is down from then on.
+    pub down_after_write: bool,
     /// Watches stay open and say nothing.
     pub stall_watches: bool,
 }
@@ -207,8 +211,16 @@
             }
             _ => return http::status(StatusCode::NOT_FOUND),
         };
+        if before != state.revision && state.fault.down_after_write {
+            state.fault.down_after_write = false;
+            state.fault.down = true;
+            return http::status(StatusCode::GATEWAY_TIMEOUT);
+        }
         if before != state.revision && 0 < state.fault.lose_answers {
             state.fault.lose_answers -= 1;
+            if let Some((key, value)) = state.fault.overwrite.take() {
+                store(&mut state, key.into_bytes(), value.into_bytes(), 0);
+            }
             return http::status(StatusCode::GATEWAY_TIMEOUT);
         }
         http::json(&answer)
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -28,3 +28,4 @@
 pub mod route;
 pub mod shape;
 pub mod table;
+pub mod writer;
