duty: failpoints at each step, and histories of seeded faults checked for nine promises

A table drives a fault into each step of a launch, its record, its replies and its settlement; another drives faults of the store into every write of a job. Clusters under seeded faults (agents killed, paused and replaced, entries paused, the store down or losing answers, leases lapsed, data centres out) write down what callers, runtimes and targets saw, and the checker decides the nine promises.

--- a/daemon/src/agent_command.rs
+++ b/daemon/src/agent_command.rs
@@ -44,6 +44,7 @@
             other => agent_task::spawn(agent, other),
         }
     }
+    fail::fail_point!("agent-reply", |_| problem::bad_input("reply", "is lost"));
     Response::new(body::full(codec::pack(&reply).unwrap_or_default()))
 }
 
--- a/daemon/src/duty_follow.rs
+++ b/daemon/src/duty_follow.rs
@@ -187,7 +187,6 @@
 }
 
 fn begin_settling(entry: &Arc<Entry>, duty: &mut Duty, job: &Name, settlement: Settlement) {
-    fail::fail_point!("duty-settle", |_| ());
     duty_run::settle(entry, &duty.notes, job, settlement.clone());
     if let Some(run) = duty.runs.get_mut(job) {
         run.stage = Stage::Settling { settlement, failed: None };
--- a/daemon/src/duty_run.rs
+++ b/daemon/src/duty_run.rs
@@ -271,6 +271,7 @@
 ) {
     let (entry, notes, job) = (entry.clone(), notes.clone(), job.clone());
     tokio::spawn(async move {
+        fail::fail_point!("duty-settle", |_| drop(notes.send(Note::Changed(job.clone(), None))));
         let change = settlement.change;
         let edit = |record: &mut Record| settlement.edit(record);
         let changed = record::change(&entry.store, job.as_str(), change, edit).await;
--- a/daemon/tests/faults/main.rs
+++ b/daemon/tests/faults/main.rs
@@ -2,4 +2,6 @@
 
 mod duty_succession;
 mod gang_faults;
+mod history_seeds;
 mod job_durable;
+mod matrix_store;
--- a/fakes/src/target.rs
+++ b/fakes/src/target.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -49,6 +50,7 @@
 #[derive(Debug, Default)]
 struct Counts {
     executions: HashMap<String, u32>,
+    runs: Vec<(String, Instant)>,
     running: u32,
     most_running: u32,
     fails: bool,
@@ -76,6 +78,11 @@
         self.lock().executions.clone()
     }
 
+    /// Returns the key and the time of every execution so far.
+    pub fn runs(&self) -> Vec<(String, Instant)> {
+        self.lock().runs.clone()
+    }
+
     /// Returns the most requests that were executed at a time.
     pub fn most_running(&self) -> u32 {
         self.lock().most_running
@@ -97,6 +104,7 @@
         let fails = {
             let mut counts = self.lock();
             *counts.executions.entry(key.unwrap_or_default().to_owned()).or_default() += 1;
+            counts.runs.push((key.unwrap_or_default().to_owned(), Instant::now()));
             counts.fails
         };
         if fails {
