server: a stop lets connections that peers have opened send their first request

A peer whose connection was open when the listener stopped, and whose request was under way, got a closed connection instead of an answer. The stop now takes in what is in the listen queue, and a connection that has had no request yet has half a second to send one.

--- a/net/src/server.rs
+++ b/net/src/server.rs
@@ -35,6 +35,11 @@
 const HEADER_LIMIT: usize = 64;
 /// Most bytes buffered for a request's head.
 const HEAD_BYTES: usize = 64 << 10;
+/// Time in which a connection that has had no request yet may still send its first one
+/// after the stop.
+const FIRST_REQUEST: Duration = Duration::from_millis(500);
+/// Time for which connections that peers have already opened are taken in after the stop.
+const LAST_ACCEPT: Duration = Duration::from_millis(20);
 /// Pause after a failed accept, such as for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -91,6 +96,11 @@
             drop(place);
         });
     }
+    // A peer whose connection is open may have sent its request already.
+    while let Ok(Ok((stream, peer))) = time::timeout(LAST_ACCEPT, listener.accept()).await {
+        let (handler, acceptor, stop) = (handler.clone(), acceptor.clone(), stop.clone());
+        connections.spawn(greet(stream, acceptor, peer, handler, stop));
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
@@ -123,7 +133,9 @@
 ) where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
+    let (first, mut seen) = watch::channel(false);
     let service = service_fn(move |request| {
+        let _ = first.send(true);
         let answer = handler(request, peer);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -140,8 +152,18 @@
     let ended = tokio::select! {
         ended = serving.as_mut() => ended,
         () = stopped(&mut stop) => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
+            let begun = time::timeout(FIRST_REQUEST, seen.wait_for(|seen| *seen));
+            let ended = tokio::select! {
+                ended = serving.as_mut() => Some(ended),
+                _ = begun => None,
+            };
+            match ended {
+                Some(ended) => ended,
+                None => {
+                    serving.as_mut().graceful_shutdown();
+                    serving.await
+                }
+            }
         }
     };
     if let Err(error) = ended {
