testutils: real processes killed, stopped and terminated, and seeds that are fair

The built program runs as two entries and two agents: each role is killed with -9 in mid-work, an agent and an entry are stopped past every lease and continued, and an entry and an agent are terminated under load.

The seeded histories let leases of an hour lapse within seconds, which took away the claims that guard keys and no pause of seconds can do; the stand-in now lapses leases of less than a minute.

--- a/daemon/tests/faults/main.rs
+++ b/daemon/tests/faults/main.rs
@@ -5,3 +5,4 @@
 mod history_seeds;
 mod job_durable;
 mod matrix_store;
+mod process_roles;
--- /dev/null
+++ b/daemon/tests/faults/process_roles.rs
@@ -0,0 +1,370 @@
+//! The built program as real processes on loopback: killed, stopped and continued, and terminated.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use lavendergauge_daemon::embedded;
+use lavendergauge_daemon::embedded::Place;
+use lavendergauge_daemon::embedded::Plan;
+use lavendergauge_daemon::entry_service::ACCOUNT_HEADER;
+use lavendergauge_daemon::entry_service::KEY_HEADER;
+use lavendergauge_fakes::http::Server;
+use lavendergauge_fakes::kv::Kv;
+use lavendergauge_fakes::runtime::Execution;
+use lavendergauge_fakes::runtime::Runtime;
+use lavendergauge_fakes::target::Target;
+use lavendergauge_net::body;
+use lavendergauge_net::client;
+use lavendergauge_net::client::Client;
+use lavendergauge_testutils::cluster;
+use lavendergauge_wire::job::Record;
+use lavendergauge_wire::job::State;
+use nix::sys::signal;
+use nix::sys::signal::Signal;
+use nix::unistd::Pid;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time;
+
+/// Bound on a start or an end when nothing fails.
+const SOON: Duration = Duration::from_secs(15);
+/// Bound on a recovery: leases, succession and a new launch.
+const RECOVERY: Duration = Duration::from_secs(40);
+/// Bound on the end of a gang that lost a member: a gang lease, a runtime lease and a message.
+const PART: Duration = Duration::from_secs(11);
+/// Longer than any lease.
+const PAUSE: Duration = Duration::from_secs(13);
+/// Deadline of one call.
+const DEADLINE: Duration = Duration::from_secs(10);
+/// Pause between two looks.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// A process of the built program, ended when it is dropped.
+struct Daemon {
+    child: Child,
+    /// Fields of its line that says that it has started.
+    started: HashMap<String, String>,
+}
+
+impl Daemon {
+    fn start(test: &str, name: &str, settings: &str) -> Self {
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{name}.ini"));
+        fs::write(&path, settings).expect("a settings file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_lavendergauged"))
+            .arg("run")
+            .arg("--settings")
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let output = child.stdout.take().expect("an output");
+        let mut lines = BufReader::new(output).lines().map_while(Result::ok);
+        let line = lines.find(|line| line.contains("event=started")).expect("it starts");
+        thread::spawn(move || lines.for_each(drop));
+        let fields = line.split(' ').filter_map(|field| field.split_once('='));
+        let started = fields.map(|(key, value)| (key.to_owned(), value.to_owned())).collect();
+        Daemon { child, started }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).expect("a process id");
+        signal::kill(Pid::from_raw(id), signal).expect("a living process");
+    }
+
+    /// Waits until the process has ended by itself, and tells whether it ended well.
+    async fn ended(&mut self, limit: Duration) -> bool {
+        let begun = Instant::now();
+        while begun.elapsed() < limit {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status.success();
+            }
+            time::sleep(LOOK_EVERY).await;
+        }
+        false
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A worker's stand-ins and its agent.
+struct Worker {
+    name: String,
+    place: Place,
+    agent: Daemon,
+    runtime: Runtime,
+    target: Target,
+    _servers: [Server; 2],
+}
+
+/// Two entries and two workers in one rack.
+struct Fleet {
+    test: &'static str,
+    plan: Plan,
+    entries: Vec<Daemon>,
+    workers: Vec<Worker>,
+    _kv: Kv,
+    _store: Server,
+}
+
+impl Fleet {
+    async fn start(test: &'static str) -> Self {
+        let plan = cluster::plan(2, &["zilina-1"]);
+        let kv = Kv::default();
+        let store = kv.serve().await;
+        let entries: Vec<Daemon> = ["entry-1", "entry-2"]
+            .iter()
+            .map(|name| {
+                let text = embedded::entry_text(&plan, name, "zilina-1", &store.address());
+                Daemon::start(test, name, &text)
+            })
+            .collect();
+        let mut fleet = Fleet { test, plan, entries, workers: Vec::new(), _kv: kv, _store: store };
+        for index in 0..2 {
+            fleet.add_worker(&format!("worker-{index}")).await;
+        }
+        fleet.set_up().await;
+        fleet
+    }
+
+    async fn add_worker(&mut self, name: &str) {
+        let (runtime, target) = (Runtime::default(), Target::default());
+        let servers = [runtime.serve().await, target.serve().await];
+        let place = Place {
+            name: name.to_owned(),
+            data_centre: "zilina-1".to_owned(),
+            rack: "rack-0".to_owned(),
+            entries: self.entries.iter().map(|entry| entry.started["control"].clone()).collect(),
+            target_address: servers[1].address(),
+            runtime_address: servers[0].address(),
+        };
+        let agent = Daemon::start(self.test, name, &embedded::agent_text(&self.plan, &place));
+        let name = name.to_owned();
+        self.workers.push(Worker { name, place, agent, runtime, target, _servers: servers });
+    }
+
+    fn restart_agent(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        let text = embedded::agent_text(&self.plan, &worker.place);
+        worker.agent = Daemon::start(self.test, &worker.name, &text);
+    }
+
+    async fn set_up(&self) {
+        let operations = embedded::set_up(&[("brno", json!([]))], &["zilina-1"]);
+        let change = json!({"id": "set-up", "base": 0, "operations": operations});
+        let begun = Instant::now();
+        loop {
+            let _ = self.call(0, Method::POST, "/v1/config/changes", &change).await;
+            let mut ready = true;
+            for entry in 0..self.entries.len() {
+                let config = self.call(entry, Method::GET, "/v1/config", &Value::Null).await;
+                ready &= config["revision"] == 1;
+                let workers = self.call(entry, Method::GET, "/v1/workers", &Value::Null).await;
+                let current = workers.as_array().into_iter().flatten();
+                ready &= current.filter(|frame| frame["revision"] == 1).count() == 2;
+            }
+            if ready {
+                return;
+            }
+            assert!(begun.elapsed() < SOON, "the fleet comes up");
+            time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Calls an entry's administration API; null when it gives no answer.
+    async fn call(&self, entry: usize, method: Method, path: &str, body: &Value) -> Value {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.entries[entry].started["control"]))
+            .body(body::full(body.to_string()))
+            .expect("a request");
+        match Client::default().fetch(request, DEADLINE).await {
+            Ok(answer) => serde_json::from_slice(answer.body()).unwrap_or(Value::Null),
+            Err(_) => Value::Null,
+        }
+    }
+
+    async fn submit(&self, entry: usize, more: &Value) -> String {
+        let answer = self.call(entry, Method::POST, "/v1/jobs", &cluster::gang(more)).await;
+        answer["id"].as_str().expect("an accepted job").to_owned()
+    }
+
+    async fn wait_job(
+        &self,
+        entry: usize,
+        id: &str,
+        limit: Duration,
+        holds: impl Fn(&Record) -> bool,
+    ) -> Record {
+        let begun = Instant::now();
+        loop {
+            let path = format!("/v1/jobs/{id}");
+            let answer = self.call(entry, Method::GET, &path, &Value::Null).await;
+            if let Ok(record) = serde_json::from_value::<Record>(answer.clone())
+                && holds(&record)
+            {
+                return record;
+            }
+            assert!(begun.elapsed() < limit, "not within {limit:?}: {answer}");
+            time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    fn executions(&self, job: &str) -> Vec<Execution> {
+        let all = self.workers.iter().flat_map(|worker| worker.runtime.executions());
+        all.filter(|execution| execution.task.starts_with(job)).collect()
+    }
+}
+
+fn is(state: State) -> impl Fn(&Record) -> bool {
+    move |record| record.state == state
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_roles() {
+    let mut fleet = Fleet::start("killed").await;
+    let id = fleet.submit(1, &json!({"idempotent": true, "payload": "run_ms=9000"})).await;
+    fleet.wait_job(1, &id, SOON, is(State::Running)).await;
+    // The first entry to start holds the planner's duty, or a successor takes it.
+    fleet.entries[0].signal(Signal::SIGKILL);
+    let done = fleet.wait_job(1, &id, RECOVERY, is(State::Done)).await;
+    assert_eq!((done.attempt, fleet.executions(&id).len()), (1, 2), "the gang went on");
+    let id = fleet.submit(1, &json!({"idempotent": true})).await;
+    fleet.wait_job(1, &id, SOON, is(State::Running)).await;
+    let fault = Instant::now();
+    fleet.workers[0].agent.signal(Signal::SIGKILL);
+    time::sleep(Duration::from_secs(1)).await;
+    fleet.restart_agent(0);
+    let again = |record: &Record| record.state == State::Running && record.attempt == 2;
+    fleet.wait_job(1, &id, RECOVERY, again).await;
+    for execution in fleet.executions(&id) {
+        if execution.task.starts_with(&format!("{id}/1/")) {
+            let ended = execution.ended.expect("the first attempt is over").into_std();
+            assert!(ended.saturating_duration_since(fault) <= PART, "ends within the bound");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stopped_and_continued() {
+    let fleet = Fleet::start("stopped").await;
+    let id = fleet.submit(0, &json!({})).await;
+    fleet.wait_job(0, &id, SOON, is(State::Running)).await;
+    let fault = Instant::now();
+    fleet.workers[0].agent.signal(Signal::SIGSTOP);
+    fleet.entries[1].signal(Signal::SIGSTOP);
+    time::sleep(PAUSE).await;
+    fleet.workers[0].agent.signal(Signal::SIGCONT);
+    fleet.entries[1].signal(Signal::SIGCONT);
+    fleet.wait_job(0, &id, RECOVERY, is(State::Unknown)).await;
+    let executions = fleet.executions(&id);
+    assert_eq!(executions.len(), 2, "what may run once is not run again");
+    for execution in executions {
+        let ended = execution.ended.expect("all members are over").into_std();
+        assert!(ended.saturating_duration_since(fault) <= PART, "ends within the bound");
+    }
+    let next = fleet.submit(1, &json!({"payload": "run_ms=50"})).await;
+    fleet.wait_job(1, &next, RECOVERY, is(State::Done)).await;
+}
+
+async fn request(service: String, key: String) -> Result<Response<Bytes>, client::Error> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{service}/check"))
+        .header(ACCOUNT_HEADER, "brno")
+        .header(KEY_HEADER, &key)
+        .header("work-ms", "300")
+        .body(body::full(key))
+        .expect("a request");
+    Client::default().fetch(request, DEADLINE).await
+}
+
+/// Keeps the entries that are healthy, as the platform's balancer does.
+async fn balance(controls: Vec<String>, healthy: watch::Sender<Vec<bool>>) {
+    loop {
+        for (index, control) in controls.iter().enumerate() {
+            let request = Request::builder()
+                .uri(format!("http://{control}/health"))
+                .body(body::empty())
+                .expect("a request");
+            let good = match Client::default().fetch(request, DEADLINE).await {
+                Ok(answer) => answer.status().is_success(),
+                Err(_) => false,
+            };
+            healthy.send_modify(|healthy| healthy[index] &= good);
+        }
+        time::sleep(LOOK_EVERY).await;
+    }
+}
+
+/// Sends requests over a while, ends a process in the midst, and returns the broken ones.
+async fn under_load(fleet: &Fleet, daemon: &Daemon) -> Vec<String> {
+    let (sender, healthy) = watch::channel(vec![true; fleet.entries.len()]);
+    let controls = fleet.entries.iter().map(|entry| entry.started["control"].clone()).collect();
+    let balancer = tokio::spawn(balance(controls, sender));
+    let mut calls = JoinSet::new();
+    for index in 0..80 {
+        if index == 30 {
+            daemon.signal(Signal::SIGTERM);
+        }
+        let entry = healthy.borrow().iter().position(|&healthy| healthy).expect("an entry");
+        let service = fleet.entries[entry].started["service"].clone();
+        calls.spawn(request(service, format!("load-{index}")));
+        time::sleep(Duration::from_millis(15)).await;
+    }
+    let mut broken = Vec::new();
+    while let Some(call) = calls.join_next().await {
+        match call.expect("a call") {
+            Ok(_) | Err(client::Error::Connect(_)) => {}
+            Err(error) => broken.push(error.to_string()),
+        }
+    }
+    balancer.abort();
+    broken
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn terminated_entry() {
+    let mut fleet = Fleet::start("entry-term").await;
+    let broken = under_load(&fleet, &fleet.entries[0]).await;
+    assert_eq!(broken, Vec::<String>::new(), "a planned stop cuts off no request");
+    assert!(fleet.entries[0].ended(SOON).await, "it ends well");
+    executed_once(&fleet);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn terminated_agent() {
+    let mut fleet = Fleet::start("agent-term").await;
+    let broken = under_load(&fleet, &fleet.workers[0].agent).await;
+    assert_eq!(broken, Vec::<String>::new(), "a planned stop cuts off no request");
+    assert!(fleet.workers[0].agent.ended(SOON).await, "it ends well");
+    executed_once(&fleet);
+}
+
+fn executed_once(fleet: &Fleet) {
+    let runs: Vec<String> =
+        fleet.workers.iter().flat_map(|one| one.target.runs()).map(|(key, _)| key).collect();
+    let keys: HashSet<&String> = runs.iter().collect();
+    assert_eq!(keys.len(), runs.len(), "every key ran at most once");
+    assert!(!runs.is_empty());
+}
--- a/fakes/src/kv.rs
+++ b/fakes/src/kv.rs
@@ -27,6 +27,9 @@
 /// Most changes that a watch can start back from.
 const LOG_LIMIT: usize = 10_000;
 
+/// Leases below this lapse in [`Kv::lapse_leases`].
+const SHORT_LEASE: Duration = Duration::from_secs(60);
+
 /// Faults that a test can switch on.
 #[derive(Clone, Debug, Default)]
 pub struct Fault {
@@ -145,10 +148,12 @@
         state.changed.notify_waiters();
     }
 
-    /// Ends a lease at once, with the keys bound to it.
+    /// Ends every lease of less than a minute at once, with the keys bound to them, as if
+    /// their holders had been paused; a longer pause than that is no fault of seconds.
     pub fn lapse_leases(&self) {
         let mut state = self.lock();
-        let ids: Vec<i64> = state.leases.keys().copied().collect();
+        let short = state.leases.iter().filter(|(_, lease)| lease.lasts < SHORT_LEASE);
+        let ids: Vec<i64> = short.map(|(&id, _)| id).collect();
         for id in ids {
             end_lease(&mut state, id);
         }
