startup: TLS by settings, and reports that say what failed

Keys and answers crossed the network in the clear. A section [tls] with certificate, key and authority now protects every listener and every call between the fleet's processes; all three have to be set. Start-up failures are error-stack reports, so that the line names the address or the file and the system's reason.

The list of sections in settings_check grew by tls; the check is as strict.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -1,12 +1,12 @@
 //! An agent: the only giver of its worker's accelerators and its target's slots.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use error_stack::Report;
 use hyper::Request;
 use hyper::body::Incoming;
 use lavendergauge_lib::gang;
@@ -21,7 +21,6 @@
 use lavendergauge_wire::announce::Health;
 use lavendergauge_wire::announce::Load;
 use lavendergauge_wire::announce::Reply;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time;
@@ -33,6 +32,8 @@
 use crate::runtime::Runtime;
 use crate::settings;
 use crate::settings::Settings;
+use crate::startup;
+use crate::startup::Security;
 
 /// Deadline of one announcement.
 const ANNOUNCE_DEADLINE: Duration = Duration::from_millis(1000);
@@ -114,10 +115,14 @@
 /// Starts an agent.
 ///
 /// # Errors
-/// When its address cannot be listened on.
-pub async fn start(settings: &Settings, role: &settings::Agent) -> io::Result<Handle> {
-    let listener = TcpListener::bind(&role.address).await?;
-    let address = listener.local_addr()?;
+/// When its address cannot be listened on, or a file of `[tls]` cannot be used.
+pub async fn start(
+    settings: &Settings,
+    role: &settings::Agent,
+) -> Result<Handle, Report<startup::Error>> {
+    let security = Security::load(&settings.tls)?;
+    let listener = startup::listen(&role.address).await?;
+    let address = startup::address(&listener)?;
     let capacity = Capacity {
         accelerators: role.accelerators,
         processors: role.processors,
@@ -130,7 +135,7 @@
         incarnation: rand::random(),
         runtime: Runtime::new(role.runtime_address.clone()),
         access: settings.access.clone(),
-        client: Client::for_fleet(&settings.access.fleet_key, None),
+        client: Client::for_fleet(&settings.access.fleet_key, security.trust),
         target_client: agent_service::target_client(role.connections),
         answers: agent_service::Answers::default(),
         core: Mutex::new(Core {
@@ -148,7 +153,14 @@
         Box::pin(agent_service::answer(on_request.clone(), request))
     };
     let tasks = vec![
-        tokio::spawn(server::serve(listener, Arc::new(handler), CONNECTIONS, stopped.clone())),
+        tokio::spawn(server::serve_tls(
+            listener,
+            security.acceptor.clone(),
+            Arc::new(handler),
+            CONNECTIONS,
+            stopped.clone(),
+        )),
+        tokio::spawn(startup::renew(security.acceptor, stopped.clone())),
         tokio::spawn(announce(agent.clone(), stopped.clone())),
         tokio::spawn(agent_task::run(agent.clone(), stopped)),
     ];
--- a/daemon/src/embedded.rs
+++ b/daemon/src/embedded.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use error_stack::Report;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -34,6 +35,7 @@
 use crate::settings::Role;
 use crate::settings::Settings;
 use crate::settings_file::Fault;
+use crate::startup;
 
 /// Deadline of one call.
 const DEADLINE: Duration = Duration::from_secs(10);
@@ -51,9 +53,9 @@
     /// A body was not what it should be.
     #[error("{0}")]
     Codec(#[from] codec::Error),
-    /// A socket could not be had.
-    #[error("{0}")]
-    Socket(#[from] std::io::Error),
+    /// A process could not be started.
+    #[error("{0:?}")]
+    Start(Report<startup::Error>),
     /// The settings are wrong.
     #[error("settings: {0:?}")]
     Settings(Vec<Fault>),
@@ -65,6 +67,12 @@
     Late(Duration, String),
 }
 
+impl From<Report<startup::Error>> for Error {
+    fn from(report: Report<startup::Error>) -> Self {
+        Error::Start(report)
+    }
+}
+
 /// What a fleet is made of.
 #[value]
 pub struct Plan {
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -2,13 +2,13 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use error_stack::Report;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -27,7 +27,6 @@
 use lavendergauge_wire::problem::Outcome;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time;
@@ -47,6 +46,8 @@
 use crate::problem;
 use crate::settings;
 use crate::settings::Settings;
+use crate::startup;
+use crate::startup::Security;
 use crate::store::Item;
 use crate::store::Store;
 
@@ -212,13 +213,17 @@
 /// Starts an entry.
 ///
 /// # Errors
-/// When an address cannot be listened on.
-pub async fn start(settings: &Settings, role: &settings::Entry) -> io::Result<Handle> {
-    let service = TcpListener::bind(&role.service_address).await?;
-    let control = TcpListener::bind(&role.control_address).await?;
-    let service_address = service.local_addr()?;
-    let control_address = control.local_addr()?;
-    let client = Client::for_fleet(&settings.access.fleet_key, None);
+/// When an address cannot be listened on, or a file of `[tls]` cannot be used.
+pub async fn start(
+    settings: &Settings,
+    role: &settings::Entry,
+) -> Result<Handle, Report<startup::Error>> {
+    let security = Security::load(&settings.tls)?;
+    let service = startup::listen(&role.service_address).await?;
+    let control = startup::listen(&role.control_address).await?;
+    let service_address = startup::address(&service)?;
+    let control_address = startup::address(&control)?;
+    let client = Client::for_fleet(&settings.access.fleet_key, security.trust);
     let incarnation = rand::random();
     let entry = Arc::new(Entry {
         name: settings.name.clone(),
@@ -255,18 +260,21 @@
         Box::pin(entry_control::answer(on_control.clone(), request))
     };
     let tasks = vec![
-        tokio::spawn(server::serve(
+        tokio::spawn(server::serve_tls(
             service,
+            security.acceptor.clone(),
             Arc::new(service_handler),
             SERVICE_CONNECTIONS,
             stopped.clone(),
         )),
-        tokio::spawn(server::serve(
+        tokio::spawn(server::serve_tls(
             control,
+            security.acceptor.clone(),
             Arc::new(control_handler),
             CONTROL_CONNECTIONS,
             stopped.clone(),
         )),
+        tokio::spawn(startup::renew(security.acceptor, stopped.clone())),
         tokio::spawn(entry_route::run(entry.clone(), stopped.clone())),
         tokio::spawn(config_sync::run(entry.clone(), stopped.clone())),
         tokio::spawn(config_sync::watch(entry.clone(), stopped.clone())),
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod settings;
 pub mod settings_file;
 pub mod settings_key;
+pub mod startup;
 pub mod store;
 mod store_gateway;
 mod store_read;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -93,12 +93,14 @@
     logs::start(settings.log.level);
     match &settings.role {
         Role::Entry(role) => {
-            let handle = entry::start(&settings, role).await.map_err(|error| error.to_string())?;
+            let handle =
+                entry::start(&settings, role).await.map_err(|report| format!("{report:#}"))?;
             terminated().await;
             handle.stop().await;
         }
         Role::Agent(role) => {
-            let handle = agent::start(&settings, role).await.map_err(|error| error.to_string())?;
+            let handle =
+                agent::start(&settings, role).await.map_err(|report| format!("{report:#}"))?;
             terminated().await;
             handle.stop().await;
         }
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -20,12 +20,26 @@
     pub data_centre: String,
     /// How callers and processes prove themselves.
     pub access: Access,
+    /// How connections are protected.
+    pub tls: Tls,
     /// What is logged.
     pub log: Log,
     /// What the process does.
     pub role: Role,
 }
 
+/// How connections are protected; without files they are plain.
+#[value]
+#[derive(Default)]
+pub struct Tls {
+    /// PEM file with the process's certificate chain; empty for plain listeners.
+    pub certificate: String,
+    /// PEM file with the certificate's key.
+    pub key: String,
+    /// PEM file with the authority that the fleet's processes trust; empty for plain calls.
+    pub authority: String,
+}
+
 /// How callers and processes prove themselves.
 #[value]
 #[derive(Default)]
@@ -116,6 +130,7 @@
     };
     file.check(role);
     check_access(&mut file, role);
+    check_tls(&mut file);
     if !file.faults.is_empty() {
         file.faults.sort_by_key(|fault| fault.line);
         return Err(file.faults);
@@ -128,6 +143,11 @@
             bootstrap_hash: text_of(&file, "entry", "bootstrap_key_hash"),
             open: text_of(&file, "process", "open_access") == "yes",
         },
+        tls: Tls {
+            certificate: text_of(&file, "tls", "certificate"),
+            key: text_of(&file, "tls", "key"),
+            authority: text_of(&file, "tls", "authority"),
+        },
         log: Log {
             level: text_of(&file, "log", "level").parse().unwrap_or(LevelFilter::Info),
             lines_per_s: number(&file, "log", "lines_per_s"),
@@ -179,6 +199,24 @@
     }
 }
 
+/// A listener over TLS needs both files, and its peers the authority.
+fn check_tls(file: &mut File) {
+    let names = ["certificate", "key", "authority"];
+    if names.iter().all(|name| file.value("tls", name).is_none()) {
+        return;
+    }
+    for name in names {
+        if file.value("tls", name).is_none() {
+            file.fault(
+                "tls",
+                name,
+                "is missing",
+                "to set all of `certificate`, `key`, `authority`",
+            );
+        }
+    }
+}
+
 /// Returns a key's value or default.
 fn text_of(file: &File, section: &str, name: &str) -> String {
     let default = settings_key::find(section, name).and_then(|key| key.default);
--- a/daemon/src/settings_key.rs
+++ b/daemon/src/settings_key.rs
@@ -41,6 +41,8 @@
     Hash,
     /// A secret that processes share.
     Secret,
+    /// A path of a file.
+    Path,
 }
 
 /// One settings key.
@@ -83,6 +85,9 @@
     key("process", "data_centre", Reader::Any, Kind::Name, MUST, "data centre that the process stands in"),
     key("process", "fleet_key", Reader::Any, Kind::Secret, Some(""), "secret by which the fleet's processes know one another"),
     key("process", "open_access", Reader::Any, YES_NO, Some("no"), "whether to run without keys, for trials on one machine"),
+    key("tls", "certificate", Reader::Any, Kind::Path, Some(""), "PEM file with the process's certificate chain; read again when it changes"),
+    key("tls", "key", Reader::Any, Kind::Path, Some(""), "PEM file with the certificate's key"),
+    key("tls", "authority", Reader::Any, Kind::Path, Some(""), "PEM file with the authority that signs the fleet's certificates"),
     key("log", "level", Reader::Any, LEVELS, Some("info"), "least level of the lines that are written"),
     key("log", "lines_per_s", Reader::Any, Kind::Number(1..=100_000), Some("500"), "most lines a second; the rest are counted and dropped"),
     key("entry", "service_address", Reader::Entry, Kind::Address, MUST, "address that callers' requests come to"),
@@ -132,6 +137,7 @@
             }
             Kind::Number(range) => text.parse().is_ok_and(|number| range.contains(&number)),
             Kind::Choice(words) => words.contains(&text),
+            Kind::Path => !text.is_empty(),
             Kind::Hash => text.len() == 64 && text.bytes().all(is_lower_hex),
             Kind::Secret => {
                 SECRET_LENGTH <= text.len() && text.bytes().all(|b| b.is_ascii_graphic())
@@ -158,6 +164,7 @@
                 format!("a whole number from {} to {}", range.start(), range.end())
             }
             Kind::Choice(words) => format!("one of {}", words.join(", ")),
+            Kind::Path => "the path of a PEM file".to_owned(),
             Kind::Hash => "64 lower-case hexadecimal digits".to_owned(),
             Kind::Secret => format!("at least {SECRET_LENGTH} printable characters without blanks"),
         }
--- a/daemon/tests/settings_check.rs
+++ b/daemon/tests/settings_check.rs
@@ -45,7 +45,7 @@
         "9: [entry] tick is no key; right is one of service_address, control_address, peers, tick_ms, \
          bootstrap_key_hash",
         "10: [entry] tick_ms cannot be `5`; right is a whole number from 10 to 10000",
-        "11: [sore] is no section; right is one of process, log, entry, store, agent, worker, \
+        "11: [sore] is no section; right is one of process, tls, log, entry, store, agent, worker, \
          target, runtime",
     ];
     assert_eq!(lines(FIVE_FAULTS), expected);
--- /dev/null
+++ b/daemon/tests/tls_fleet.rs
@@ -0,0 +1,150 @@
+//! A fleet whose processes speak TLS with one another and with callers.
+
+use std::env;
+use std::fs;
+use std::path::PathBuf;
+use std::process;
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::Request;
+use lavendergauge_daemon::agent;
+use lavendergauge_daemon::embedded;
+use lavendergauge_daemon::embedded::Place;
+use lavendergauge_daemon::embedded::Plan;
+use lavendergauge_daemon::entry;
+use lavendergauge_daemon::entry_service;
+use lavendergauge_daemon::settings;
+use lavendergauge_daemon::settings::Role;
+use lavendergauge_fakes::kv::Kv;
+use lavendergauge_fakes::runtime::Runtime;
+use lavendergauge_fakes::target::Target;
+use lavendergauge_net::body;
+use lavendergauge_net::client::Client;
+use lavendergauge_net::client::Options;
+use lavendergauge_net::tls::Trust;
+use rcgen::BasicConstraints;
+use rcgen::CertificateParams;
+use rcgen::CertifiedIssuer;
+use rcgen::IsCa;
+use rcgen::KeyPair;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time;
+
+/// Deadline of one call.
+const DEADLINE: Duration = Duration::from_secs(10);
+/// Tries until the agent is known and has a permit.
+const TRIES: u32 = 100;
+
+/// A folder with the fleet's certificate, which is removed at the end of the test.
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+impl Folder {
+    fn new() -> Self {
+        let path = env::temp_dir().join(format!("lavendergauge-fleet-{}", process::id()));
+        fs::create_dir_all(&path).expect("folder");
+        let mut params = CertificateParams::new(Vec::new()).expect("parameters");
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let key = KeyPair::generate().expect("key");
+        let authority = CertifiedIssuer::self_signed(params, key).expect("authority");
+        let key = KeyPair::generate().expect("key");
+        let params = CertificateParams::new(vec!["127.0.0.1".to_owned()]).expect("parameters");
+        let own = params.signed_by(&key, &authority).expect("certificate");
+        fs::write(path.join("authority.pem"), authority.pem()).expect("write");
+        fs::write(path.join("own.pem"), own.pem()).expect("write");
+        fs::write(path.join("own.key"), key.serialize_pem()).expect("write");
+        Folder(path)
+    }
+
+    /// Adds the section on TLS to a settings file.
+    fn settings(&self, text: &str) -> settings::Settings {
+        let path = self.0.display();
+        let tls = format!(
+            "[tls]\ncertificate = {path}/own.pem\nkey = {path}/own.key\n\
+             authority = {path}/authority.pem\n"
+        );
+        settings::parse(&format!("{text}{tls}")).expect("good settings")
+    }
+}
+
+async fn post(client: &Client, uri: String, body: &Value) -> Result<(u16, String), String> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(uri)
+        .header(entry_service::ACCOUNT_HEADER, "brno")
+        .body(body::full(body.to_string()))
+        .expect("request");
+    let answer = client.fetch(request, DEADLINE).await.map_err(|error| error.to_string())?;
+    let text = String::from_utf8_lossy(answer.body()).into_owned();
+    Ok((answer.status().as_u16(), text))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_secured() {
+    let folder = Folder::new();
+    let (kv, runtime, target) = (Kv::default(), Runtime::default(), Target::default());
+    let servers = [kv.serve().await, runtime.serve().await, target.serve().await];
+    let plan = Plan::default();
+    let text = embedded::entry_text(&plan, "entry-1", "zilina-1", &servers[0].address());
+    let settings = folder.settings(&text);
+    let Role::Entry(role) = &settings.role else { panic!("an entry") };
+    let entry = entry::start(&settings, role).await.expect("entry starts");
+    let place = Place {
+        name: "worker-1".to_owned(),
+        data_centre: "zilina-1".to_owned(),
+        rack: "rack-1".to_owned(),
+        entries: vec![entry.control_address.to_string()],
+        target_address: servers[2].address(),
+        runtime_address: servers[1].address(),
+    };
+    let settings = folder.settings(&embedded::agent_text(&plan, &place));
+    let Role::Agent(role) = &settings.role else { panic!("an agent") };
+    let agent = agent::start(&settings, role).await.expect("agent starts");
+
+    let trust = Trust::load(folder.0.join("authority.pem")).expect("authority");
+    let client = Client::with_trust(Options::default(), Some(trust));
+    let operations = embedded::set_up(&[("brno", json!([]))], &["zilina-1"]);
+    let change = json!({"id": "tls", "base": 0, "operations": operations});
+    let changes = format!("http://{}/v1/config/changes", entry.control_address);
+    let check = format!("http://{}/check", entry.service_address);
+    let mut answer = (0, String::new());
+    for _ in 0..TRIES {
+        let _ = post(&client, changes.clone(), &change).await;
+        answer = post(&client, check.clone(), &json!("sheet")).await.expect("TLS works");
+        if answer.0 == 200 {
+            break;
+        }
+        time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(answer, (200, "/check \"sheet\"".to_owned()));
+    assert!(post(&Client::default(), check, &json!("sheet")).await.is_err());
+    agent.stop().await;
+    entry.stop().await;
+}
+
+#[tokio::test]
+async fn files_missing() {
+    let text = embedded::entry_text(&Plan::default(), "entry-1", "zilina-1", "127.0.0.1:1");
+    let tls = "[tls]\ncertificate = none.pem\nkey = none.key\nauthority = none.pem\n";
+    let settings = settings::parse(&format!("{text}{tls}")).expect("good settings");
+    let Role::Entry(role) = &settings.role else { panic!("an entry") };
+    let Err(report) = entry::start(&settings, role).await else { panic!("no file is there") };
+    let text = format!("{report:#}");
+    assert!(text.starts_with("cannot set up TLS: none.pem:"), "{text}");
+}
+
+#[test]
+fn key_missing() {
+    let text = embedded::entry_text(&Plan::default(), "entry-1", "zilina-1", "127.0.0.1:1");
+    let faults = settings::parse(&format!("{text}[tls]\ncertificate = own.pem\n"))
+        .expect_err("the key and the authority are missing");
+    let keys: Vec<&str> = faults.iter().map(|fault| fault.key.as_str()).collect();
+    assert_eq!(keys, ["key", "authority"]);
+}
