--- a/daemon/src/agent_run.rs
+++ b/daemon/src/agent_run.rs
@@ -1,6 +1,8 @@
 //! One execution at the target.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,6 +24,7 @@
 use lavendergauge_wire::part::DATA_LIMIT;
 use lavendergauge_wire::part::End;
 use lavendergauge_wire::part::Head;
+use lavendergauge_wire::part::Headers;
 use lavendergauge_wire::part::Open;
 use lavendergauge_wire::part::Part;
 use lavendergauge_wire::part::Refusal;
@@ -42,7 +45,7 @@
 
 /// How an execution ended.
 enum Ended {
-    Whole,
+    Whole(Headers),
     NotRun(Refusal),
     Doubt(String),
 }
@@ -50,7 +53,8 @@
 /// Runs an admitted request to its end and settles its record.
 ///
 /// It goes on when the entry hangs up, unless the request is idempotent.
-pub async fn run(agent: Arc<Agent>, open: Open, parts: Parts, key: Name, answer: Arc<Answer>) {
+pub async fn run(open: Open, parts: Parts, running: Running) {
+    let answer = running.answer.clone();
     let bound = Duration::from_millis(open.ticket.deadline_ms);
     let bound = bound.clamp(EXECUTION_LEAST, EXECUTION_MOST);
     let idempotent = open.ticket.idempotent;
@@ -60,29 +64,36 @@
             false => std::future::pending().await,
         }
     };
-    let guard = Settle { agent: agent.clone(), key: key.clone(), answer: answer.clone() };
     let end = tokio::select! {
-        end = time::timeout(bound, execute(&agent, open, parts, &answer)) =>
+        end = time::timeout(bound, execute(&running, open, parts)) =>
             end.unwrap_or_else(|_| Ended::Doubt("the target took too long".to_owned())),
         () = given_up => Ended::Doubt("nobody waits for the answer any more".to_owned()),
     };
-    guard.settle(end);
+    running.settle(end);
 }
 
-/// Settles a record even when the execution's task breaks off.
-struct Settle {
+/// An admitted request, whose record is settled even when its task breaks off.
+pub struct Running {
     agent: Arc<Agent>,
     key: Name,
     answer: Arc<Answer>,
+    /// Whether anything may have reached the target.
+    reached: AtomicBool,
 }
 
-impl Settle {
+impl Running {
+    /// Takes charge of a request that the gate has just admitted.
+    pub fn new(agent: Arc<Agent>, key: Name, answer: Arc<Answer>) -> Self {
+        Running { agent, key, answer, reached: AtomicBool::new(false) }
+    }
+
+    /// Frees the slot first, so that whoever learns of the end finds it free.
     fn settle(&self, end: Ended) {
         let now = clock::now();
         let dropped = {
             let mut core = self.agent.core();
             match &end {
-                Ended::Whole => core.requests.finish(now, &self.key, self.answer.held()),
+                Ended::Whole(_) => core.requests.finish(now, &self.key, self.answer.held()),
                 Ended::NotRun(_) => {
                     core.requests.release(now, &self.key);
                     vec![self.key.clone()]
@@ -95,23 +106,28 @@
         };
         self.agent.answers.forget(&dropped);
         match end {
-            Ended::Whole => {}
+            Ended::Whole(trailers) => self.answer.end(trailers),
             Ended::NotRun(refusal) => self.answer.refuse(refusal),
             Ended::Doubt(text) => self.answer.doubt(text),
         }
     }
 }
 
-impl Drop for Settle {
+impl Drop for Running {
     fn drop(&mut self) {
         let running = self.agent.core().requests.is_running(&self.key);
-        if running {
-            self.settle(Ended::Doubt("the execution broke off".to_owned()));
+        if !running {
+            return;
         }
+        self.settle(match self.reached.load(Ordering::Acquire) {
+            true => Ended::Doubt("the execution broke off".to_owned()),
+            false => Ended::NotRun(Refusal::Cut),
+        });
     }
 }
 
-async fn execute(agent: &Agent, open: Open, mut parts: Parts, answer: &Answer) -> Ended {
+async fn execute(running: &Running, open: Open, mut parts: Parts) -> Ended {
+    let (agent, answer) = (&running.agent, &running.answer);
     let prefix = match read_prefix(&mut parts).await {
         Ok(prefix) => prefix,
         Err(refusal) => return Ended::NotRun(refusal),
@@ -127,6 +143,7 @@
     let Some(request) = request(agent, &open, body) else {
         return Ended::NotRun(Refusal::Cut);
     };
+    running.reached.store(true, Ordering::Release);
     let sending = agent.target_client.send(request, EXECUTION_MOST);
     let response = match upload {
         None => sending.await,
@@ -266,6 +283,5 @@
             Err(error) => return Ended::Doubt(format!("the target's answer broke off: {error}")),
         }
     }
-    answer.end(trailers);
-    Ended::Whole
+    Ended::Whole(trailers)
 }
--- a/daemon/src/agent_service.rs
+++ b/daemon/src/agent_service.rs
@@ -41,6 +41,7 @@
 use crate::agent_answer::Reader;
 use crate::agent_command;
 use crate::agent_run;
+use crate::agent_run::Running;
 use crate::clock;
 use crate::problem;
 
@@ -165,6 +166,7 @@
         attempt: ticket.attempt,
         incarnation: agent.incarnation,
         used: agent.core().requests.used(),
+        clock_ms: clock::now().0,
     })
 }
 
@@ -190,18 +192,22 @@
     let key = scoped(&ticket);
     let begun = begin(&agent, &ticket, &key);
     log::debug!("event=admit key={} attempt={} verdict={:?}", ticket.key, ticket.attempt, begun.0);
-    fail::fail_point!("agent-after-admit");
     match begun {
         (Admission::Run, Some(answer)) => {
+            let running = Running::new(agent.clone(), key, answer.clone());
+            fail::fail_point!("agent-after-admit");
             let streamed = !ticket.whole;
             answer.admit();
-            let reader = Reader::new(answer.clone(), open.from);
-            tokio::spawn(agent_run::run(agent.clone(), open, parts, key, answer));
+            let reader = Reader::new(answer, open.from);
+            tokio::spawn(agent_run::run(open, parts, running));
             read(&agent, &ticket, reader, streamed).await
         }
         (Admission::Known(Standing::Running | Standing::Ran), Some(answer)) => {
             read(&agent, &ticket, Reader::new(answer, open.from), false).await
         }
+        (Admission::Known(Standing::Forgotten), _) => {
+            last(&agent, &ticket, Part::Refused(Refusal::Stale))
+        }
         (Admission::Known(standing), _) => last(&agent, &ticket, known(standing)),
         (Admission::Refused(refusal), _) => last(&agent, &ticket, refused(refusal)),
         (Admission::Run, None) => last(&agent, &ticket, replaced()),
--- a/daemon/src/entry_exchange.rs
+++ b/daemon/src/entry_exchange.rs
@@ -63,7 +63,7 @@
     hash: Sha256,
     received: u64,
     headed: bool,
-    used: Option<u32>,
+    heard: Option<Hello>,
     admitted: entry_upload::Signal,
     /// Whether the request may have reached the agent's process before.
     suspected: bool,
@@ -81,7 +81,7 @@
             hash: Sha256::new(),
             received: 0,
             headed: false,
-            used: None,
+            heard: None,
             admitted: entry_upload::Signal::default(),
             suspected: false,
             over: false,
@@ -95,9 +95,9 @@
         exchange
     }
 
-    /// Returns the load that the agent stated.
-    pub fn used(&self) -> Option<u32> {
-        self.used
+    /// Returns what the agent said of itself.
+    pub fn heard(&self) -> Option<&Hello> {
+        self.heard.as_ref()
     }
 
     /// Hands the request over and returns what the agent says first.
@@ -159,7 +159,7 @@
     fn take(&mut self, part: Part) -> Option<Event> {
         match part {
             Part::Hello(hello) if self.is_own(&hello) => {
-                self.used = Some(hello.used);
+                self.heard = Some(hello);
                 None
             }
             Part::Admitted => {
@@ -169,6 +169,9 @@
             Part::Refused(Refusal::Replaced) if self.suspected || self.headed => {
                 Some(self.doubt("the agent's process is gone"))
             }
+            Part::Refused(Refusal::Stale) if self.suspected => {
+                Some(self.doubt("the record may have been forgotten"))
+            }
             Part::Refused(refusal) if !self.headed => {
                 self.over = true;
                 Some(Event::Refused(refusal))
--- a/daemon/src/entry_route.rs
+++ b/daemon/src/entry_route.rs
@@ -15,6 +15,7 @@
 use lavendergauge_lib::route::Announced;
 use lavendergauge_lib::route::Key;
 use lavendergauge_lib::route::Table;
+use lavendergauge_wire::part::Hello;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::oneshot;
@@ -28,6 +29,8 @@
 
 /// Interval at which announcements are taken in and waiting requests looked at.
 const TICK: Duration = Duration::from_millis(20);
+/// Largest share of the time to its deadline that a request waits, as a divisor.
+const WAIT_DIVISOR: u32 = 2;
 /// Most waiting requests.
 const QUEUE_LIMIT: usize = 1024;
 
@@ -84,9 +87,12 @@
 }
 
 impl Place {
-    /// Takes in the load that the target states in its answer.
-    pub fn hear(&self, used: u32) {
-        self.router.lock().table.hear(self.key, used);
+    /// Takes in what the target's agent says of itself in its answer.
+    pub fn hear(&self, hello: &Hello) {
+        if hello.incarnation == self.target.incarnation {
+            let clock = Millis(hello.clock_ms);
+            self.router.lock().table.hear(self.key, hello.used, clock);
+        }
     }
 
     /// Returns the target's key.
@@ -158,7 +164,7 @@
             return Err(Refusal::NoTarget);
         }
         let (sender, receiver) = oneshot::channel();
-        let until = now + call.left().min(state.longest_wait);
+        let until = now + (call.left() / WAIT_DIVISOR).min(state.longest_wait);
         let waiting = Waiting { account: call.account.clone(), until, item: sender };
         let displaced =
             state.queue.push(now, call.class, waiting).map_err(|refusal| match refusal {
--- a/daemon/src/entry_service.rs
+++ b/daemon/src/entry_service.rs
@@ -148,7 +148,7 @@
         };
         match turn {
             Turn::Over(response) => return response,
-            Turn::NotRun(Refusal::Full | Refusal::Fenced) => {}
+            Turn::NotRun(Refusal::Full | Refusal::Fenced | Refusal::Stale) => {}
             Turn::NotRun(_) if entry.router.take_retry() => {}
             Turn::NotRun(refusal) => {
                 last = format!("refused: {refusal:?}");
@@ -311,8 +311,8 @@
     let mut exchange = Exchange::new(entry, place.target.address.as_str(), open);
     let left = call.left();
     let event = time::timeout(left, exchange.run(call)).await;
-    if let Some(used) = exchange.used() {
-        place.hear(used);
+    if let Some(hello) = exchange.heard() {
+        place.hear(hello);
     }
     match event {
         Ok(Event::Head(head)) => {
--- /dev/null
+++ b/daemon/tests/request_steps.rs
@@ -0,0 +1,94 @@
+//! A fault at each named step of the request protocol, by failpoints.
+
+mod request_support;
+
+use std::time::Duration;
+
+use fail::FailScenario;
+use hyper::Method;
+use hyper::StatusCode;
+use request_support::Env;
+use request_support::Sent;
+use request_support::outcome;
+use request_support::problem;
+
+/// Sends a keyed POST while one step fails once, then repeats it at the other entry.
+async fn twice(env: &Env, step: &str, action: &str, key: &str) -> (String, String) {
+    fail::cfg(step, &format!("1*{action}->off")).expect("a failpoint");
+    let first = env.send(0, Sent::default().key(key)).await;
+    fail::remove(step);
+    let mut second = env.send(1, Sent::default().key(key)).await;
+    for _ in 0..20 {
+        if second.status() != StatusCode::SERVICE_UNAVAILABLE {
+            break;
+        }
+        // The store's client holds calls back for a while after a failure.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        second = env.send(1, Sent::default().key(key)).await;
+    }
+    let stated = problem(&first)["outcome"].as_str().map(str::to_owned);
+    if let Some(stated) = stated {
+        assert_eq!(stated, outcome(&first), "head and body state the same outcome");
+    }
+    (outcome(&first).to_owned(), outcome(&second).to_owned())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_step_failing() {
+    let scenario = FailScenario::setup();
+    let env = request_support::start(2, 2).await;
+    let cases = [
+        // step, action, outcomes allowed for the first call, executions allowed
+        ("entry-before-claim", "return", &["unknown"][..], 0..=1),
+        ("entry-after-claim", "return", &["unknown", "ran"], 0..=1),
+        ("entry-before-send", "return", &["ran", "not-run"], 1..=1),
+        ("entry-after-send", "return", &["unknown"], 1..=1),
+        ("agent-before-admit", "panic", &["ran"], 1..=1),
+        ("agent-after-admit", "panic", &["ran"], 1..=1),
+        ("agent-before-target", "return", &["ran", "not-run"], 1..=1),
+        ("agent-before-target", "panic", &["ran", "not-run"], 1..=1),
+        ("agent-after-target", "return", &["unknown"], 1..=1),
+        ("agent-after-target", "panic", &["unknown"], 1..=1),
+        ("agent-before-answer", "panic", &["ran"], 1..=1),
+        ("agent-before-ask", "panic", &["ran"], 1..=1),
+    ];
+    for (index, (step, action, allowed, executions)) in cases.into_iter().enumerate() {
+        let key = format!("step-{index}");
+        let (first, second) = twice(&env, step, action, &key).await;
+        let context = format!("{step} {action}: {first}, then {second}");
+        assert!(allowed.contains(&first.as_str()), "{context}");
+        let ran = env.executions(&key);
+        assert!(ran <= 1, "{context}: executed {ran} times");
+        assert!(executions.contains(&ran), "{context}: executed {ran} times");
+        if [&first, &second].iter().any(|outcome| *outcome == "ran") {
+            assert_eq!(ran, 1, "{context}: an answer without an execution");
+        }
+        if second == "not-run" {
+            assert_eq!(ran, 0, "{context}: said not to have run, and it did");
+        }
+    }
+    env.stop().await;
+    scenario.teardown();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idempotent_goes_on() {
+    let scenario = FailScenario::setup();
+    let env = request_support::start(1, 3).await;
+    for (index, (step, action)) in [
+        ("agent-after-target", "return"),
+        ("agent-before-target", "panic"),
+        ("agent-after-admit", "panic"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        fail::cfg(step, &format!("1*{action}->off")).expect("a failpoint");
+        let sent = Sent { method: Method::PUT, ..Sent::default() };
+        let answer = env.send(0, sent.key(&format!("again-{index}"))).await;
+        assert_eq!(outcome(&answer), "ran", "{step} {action}: an idempotent request is repeated");
+        fail::remove(step);
+    }
+    env.stop().await;
+    scenario.teardown();
+}
--- a/lib/src/queue.rs
+++ b/lib/src/queue.rs
@@ -31,6 +31,9 @@
 /// Weight of one interval in the smoothed time between two departures.
 const WEIGHT: f64 = 0.1;
 
+/// Factor by which a wait may turn out longer than expected.
+const MARGIN: f64 = 1.25;
+
 /// Why a request may not wait.
 #[token]
 pub enum Refusal {
@@ -142,7 +145,8 @@
     /// Puts a request into the queue; returns one that gives way to it.
     ///
     /// When the queue is full, the newest and least urgent request of the account
-    /// with the most waiting for its weight gives way to an account with fewer.
+    /// with the most waiting for its weight gives way to an account with fewer, or
+    /// a less urgent one of the same account to a more urgent one.
     ///
     /// # Errors
     /// [`Refusal`] when the request may not wait.
@@ -162,12 +166,15 @@
         class: Class,
         waiting: Waiting<T>,
     ) -> Result<Option<Waiting<T>>, Refusal> {
-        if class != Class::Urgent && waiting.until < now + self.expected_wait(&waiting.account) {
+        let expected = self.expected_wait(&waiting.account).mul_f64(MARGIN);
+        if class != Class::Urgent && waiting.until < now + expected {
             return Err(Refusal::Late);
         }
         let mut displaced = None;
         if self.limit <= self.waiting {
-            displaced = Some(self.displace(&waiting.account).ok_or(Refusal::Full)?);
+            let given_way = self.displace(&waiting.account);
+            let given_way = given_way.or_else(|| self.displace_own(&waiting.account, class));
+            displaced = Some(given_way.ok_or(Refusal::Full)?);
         }
         let account =
             self.accounts.entry(waiting.account.clone()).or_insert_with(|| Account::new(1));
@@ -190,6 +197,15 @@
         Some(given_way)
     }
 
+    /// Takes out the newest of an account's requests that are less urgent than a class.
+    fn displace_own(&mut self, account: &Name, class: Class) -> Option<Waiting<T>> {
+        let known = self.accounts.get_mut(account)?;
+        let lines = known.lines.iter_mut().skip(class as usize + 1).rev();
+        let given_way = lines.filter_map(VecDeque::pop_back).next()?;
+        self.waiting -= 1;
+        Some(given_way)
+    }
+
     /// Takes out the next request and counts it as in flight.
     ///
     /// ```
--- a/lib/src/request.rs
+++ b/lib/src/request.rs
@@ -23,7 +23,7 @@
 /// Time for which a finished key that an entry drew is remembered.
 pub const DRAWN_RETENTION: Duration = Duration::from_secs(60);
 /// Time for which no record is forgotten, however many there are.
-pub const LEAST_RETENTION: Duration = Duration::from_secs(5);
+pub const LEAST_RETENTION: Duration = Duration::from_millis(500);
 /// Age from which a ticket starts nothing.
 pub const TICKET_LIFE: Duration = Duration::from_secs(900);
 
@@ -32,13 +32,15 @@
 pub struct Limit {
     /// Most finished records of each kind.
     pub records: usize,
+    /// Most kept answers.
+    pub answers: usize,
     /// Most bytes of kept answers.
     pub bytes: usize,
 }
 
 impl Default for Limit {
     fn default() -> Self {
-        Limit { records: 32 << 10, bytes: 8 << 20 }
+        Limit { records: 16 << 10, answers: 2 << 10, bytes: 4 << 20 }
     }
 }
 
@@ -149,7 +151,7 @@
     ///
     /// ```
     /// use lavendergauge_lib::request::{Gate, Limit};
-    /// assert_eq!(Gate::with_limit(8, Limit { records: 1, bytes: 1 }).used(), 0);
+    /// assert_eq!(Gate::with_limit(8, Limit { records: 1, answers: 1, bytes: 1 }).used(), 0);
     /// ```
     pub fn with_limit(slots: u32, limit: Limit) -> Self {
         Gate {
@@ -293,7 +295,7 @@
         }
         self.bytes += size;
         self.answers.insert(serial, key.clone());
-        while self.limit.bytes < self.bytes {
+        while self.limit.bytes < self.bytes || self.limit.answers < self.answers.len() {
             let Some((_, key)) = self.answers.pop_first() else { break };
             self.drop_answer(&key);
             self.dropped.push(key);
--- a/lib/src/route.rs
+++ b/lib/src/route.rs
@@ -22,7 +22,7 @@
 /// Time over which a newcomer's slots come into use.
 pub const SLOW_START: Duration = Duration::from_secs(5);
 /// Time for which a target that refused as full is taken to be full.
-pub const FULL_FOR: Duration = Duration::from_millis(20);
+pub const FULL_FOR: Duration = Duration::from_millis(5);
 /// Largest share of targets that are avoided, as a divisor.
 const AVOIDED_DIVISOR: usize = 2;
 
@@ -37,7 +37,7 @@
     pub incarnation: u64,
     /// Number of the announcement.
     pub sequence: u64,
-    /// The agent's clock at the announcement.
+    /// The agent's clock when it was last heard of.
     pub clock: Millis,
     /// Requests it takes at a time.
     pub slots: u32,
@@ -56,6 +56,9 @@
     pub own: u32,
     /// Requests of others that it was serving when last heard of.
     others: u32,
+    /// Most own requests since the last report, and between the two before.
+    peak: u32,
+    last_peak: u32,
     joined: Millis,
     newcomer: bool,
     full_until: Option<Millis>,
@@ -77,6 +80,13 @@
         (f64::from(slots) * share).ceil().max(1.0) as u32
     }
 
+    /// Takes in a stated load; one that is a moment old may still count own requests that ended.
+    fn report(&mut self, used: u32) {
+        self.others = used.saturating_sub(self.peak.max(self.last_peak));
+        self.last_peak = self.peak;
+        self.peak = self.own;
+    }
+
     fn used(&self) -> u32 {
         self.own + self.others
     }
@@ -141,13 +151,16 @@
             && target.announced.incarnation == announced.incarnation
         {
             if target.announced.sequence < announced.sequence {
-                target.others = announced.used.saturating_sub(target.own);
+                target.report(announced.used);
             }
-            target.announced = announced;
+            let clock = target.announced.clock.max(announced.clock);
+            target.announced = Announced { clock, ..announced };
             return key;
         }
         self.targets.insert(Target {
             others: announced.used,
+            peak: 0,
+            last_peak: 0,
             announced,
             own: 0,
             joined: now,
@@ -234,18 +247,21 @@
     pub fn send(&mut self, key: Key) {
         if let Some(target) = self.targets.get_mut(key) {
             target.own += 1;
+            target.peak = target.peak.max(target.own);
         }
     }
 
-    /// Takes in the load that a target states in an answer.
+    /// Takes in the load and the clock that a target's agent states in an answer.
     ///
     /// ```
+    /// use lavendergauge_lib::clock::Millis;
     /// use lavendergauge_lib::route::{Key, Table};
-    /// Table::default().hear(Key::default(), 3);
+    /// Table::default().hear(Key::default(), 3, Millis(0));
     /// ```
-    pub fn hear(&mut self, key: Key, used: u32) {
+    pub fn hear(&mut self, key: Key, used: u32, clock: Millis) {
         if let Some(target) = self.targets.get_mut(key) {
-            target.others = used.saturating_sub(target.own);
+            target.announced.clock = target.announced.clock.max(clock);
+            target.report(used);
         }
     }
 
--- a/wire/src/part.rs
+++ b/wire/src/part.rs
@@ -49,6 +49,8 @@
     pub incarnation: u64,
     /// Slots in use at the target.
     pub used: u32,
+    /// The agent's own clock, in milliseconds.
+    pub clock_ms: u64,
 }
 
 /// Why an agent did not run a request.
@@ -70,6 +72,8 @@
     Cut,
     /// Another process has taken the place of the agent that was meant.
     Replaced,
+    /// The ticket is so old that a record of it may have been forgotten.
+    Stale,
     /// The agent has no room to remember one more key.
     Crowded,
 }
