member: workers found by every entry, standing as a machine, epochs that never go back

Cause: an agent knew only the entries of its settings and told them one after the other, so a dead entry delayed the living; a late word of a dead process pushed out its successor; entries that hold no duty never forgot a worker; a pause of the entry looked like the death of all; a planner epoch was a store revision, which a restored store gives out again; health was always good.

Change: announcements go out at once with a deadline each, to the settings' entries and those that replies name; a statig machine holds each worker's standing and is told of the entry's own pauses; another process takes a name over once its predecessor leaves or is silent for a second; epochs come from a counter, above all that agents announce; the target is probed; a second signal or 60 s end a graceful stop.

Conclusion: entries come and go without a change of settings.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -16,27 +16,20 @@
 use lavendergauge_net::client::Client;
 use lavendergauge_net::server;
 use lavendergauge_net::server::Answer;
-use lavendergauge_wire::VERSION;
-use lavendergauge_wire::announce::Frame;
-use lavendergauge_wire::announce::Health;
-use lavendergauge_wire::announce::Load;
-use lavendergauge_wire::announce::Reply;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time;
 
-use crate::agent_report;
+use crate::agent_announce;
+use crate::agent_health;
 use crate::agent_service;
 use crate::agent_task;
-use crate::clock;
 use crate::runtime::Runtime;
 use crate::settings;
 use crate::settings::Settings;
 use crate::startup;
 use crate::startup::Security;
 
-/// Deadline of one announcement.
-const ANNOUNCE_DEADLINE: Duration = Duration::from_millis(1000);
 /// Most connections of entries at a time.
 const CONNECTIONS: usize = 1024;
 
@@ -76,6 +69,8 @@
     pub target_client: Client,
     /// Answers of requests that are being made or kept.
     pub answers: agent_service::Answers,
+    /// How the target answered the newest probes.
+    pub probe: agent_health::Probe,
     core: Mutex<Core>,
 }
 
@@ -138,6 +133,7 @@
         client: Client::for_fleet(&settings.access.fleet_key, security.trust),
         target_client: agent_service::target_client(role.connections),
         answers: agent_service::Answers::default(),
+        probe: agent_health::Probe::default(),
         core: Mutex::new(Core {
             permit: permit::Gate::default(),
             gang: gang::Gate::new(capacity),
@@ -161,58 +157,10 @@
             stopped.clone(),
         )),
         tokio::spawn(startup::renew(security.acceptor, stopped.clone())),
-        tokio::spawn(announce(agent.clone(), stopped.clone())),
+        tokio::spawn(agent_announce::run(agent.clone(), stopped.clone())),
+        tokio::spawn(agent_health::run(agent.clone(), stopped.clone())),
         tokio::spawn(agent_task::run(agent.clone(), stopped)),
     ];
     log::info!("event=started role=agent address={address}");
     Ok(Handle { address, agent, stop, tasks })
 }
-
-/// Announces the worker to every entry, again and again.
-async fn announce(agent: Arc<Agent>, stopped: watch::Receiver<bool>) {
-    while !*stopped.borrow() {
-        let frame = frame(&agent);
-        for entry in &agent.settings.entries {
-            let sent = clock::now();
-            let reply: Result<Reply, _> =
-                agent.client.exchange(entry, "/internal/announce", &frame, ANNOUNCE_DEADLINE).await;
-            match reply {
-                Ok(reply) => {
-                    let permit = reply.permit.as_ref();
-                    let lasts = permit.map(|permit| Duration::from_millis(permit.lasts_ms));
-                    agent.core().permit.learn(sent, reply.revision, lasts);
-                    agent_report::take(&agent, sent, &reply);
-                }
-                Err(error) => log::warn!("event=announce-failed entry={entry} cause=\"{error}\""),
-            }
-        }
-        time::sleep(agent.settings.announce).await;
-    }
-}
-
-/// Makes the next announcement.
-fn frame(agent: &Agent) -> Frame {
-    let mut core = agent.core();
-    core.sequence += 1;
-    Frame {
-        version: VERSION,
-        worker: agent.name.clone(),
-        address: agent.settings.address.clone(),
-        incarnation: agent.incarnation,
-        clock_ms: clock::now().0,
-        sequence: core.sequence,
-        data_centre: agent.data_centre.clone(),
-        rack: agent.settings.rack.clone(),
-        accelerators: agent.settings.accelerators,
-        processors: agent.settings.processors,
-        memory_mb: agent.settings.memory_mb,
-        slots: agent.settings.slots,
-        connections: agent.settings.connections,
-        load: Load { slots_used: core.requests.used(), connections_used: core.requests.used() },
-        health: Health::Good,
-        leaving: core.leaving,
-        revision: core.permit.revision(),
-        epoch: core.gang.epoch(),
-        tasks: agent_report::announced(&core),
-    }
-}
--- a/daemon/src/config_peer.rs
+++ b/daemon/src/config_peer.rs
@@ -35,10 +35,13 @@
 pub const PUSH_PATH: &str = "/internal/envelope";
 
 /// Asks every other entry again and again, each in a task of its own, until the entry stops.
+///
+/// Also lets time pass for the workers, since this loop never waits for anything.
 pub async fn run(entry: Arc<Entry>, mut stopped: watch::Receiver<bool>) {
     let mut questions = JoinSet::new();
     loop {
         while questions.try_join_next().is_some() {}
+        entry.core().members.tick(clock::now());
         for (address, expected) in peers(&entry) {
             let entry = entry.clone();
             questions.spawn(async move { ask(&entry, &address, expected).await });
--- a/daemon/src/duty.rs
+++ b/daemon/src/duty.rs
@@ -1,6 +1,6 @@
 //! The planner's duty: one entry at a time holds it, by a lease in the store.
 //!
-//! The lease's store revision is the planner's epoch, which fences every command.
+//! Each holder has an epoch of its own, which fences every command.
 //! A holder places new work only while its lease is certain; it goes on watching
 //! and stopping gangs through an outage of the store, since agents refuse the
 //! commands of an older epoch.
@@ -27,6 +27,7 @@
 use crate::duty_keeper::Note;
 use crate::duty_run::Run;
 use crate::entry::Entry;
+use crate::epoch;
 use crate::member;
 use crate::store::Swap;
 
@@ -109,18 +110,21 @@
     let lease = entry.store.grant(PLANNER_LEASE).await.ok()?;
     // A unique value tells this writer's own key after a lost answer.
     let value = format!("{} {lease}", entry.name);
-    let revision = match entry.store.swap(PLANNER_KEY, 0, value.as_bytes(), lease).await {
-        Ok(Swap::Done(revision)) => revision,
+    match entry.store.swap(PLANNER_KEY, 0, value.as_bytes(), lease).await {
+        Ok(Swap::Done(_)) => {}
         Ok(Swap::Lost(_)) => {
             let _ = entry.store.revoke(lease).await;
             return None;
         }
         Err(_) => {
             let item = entry.store.load(PLANNER_KEY).await.ok()??;
-            (item.value == value.as_bytes()).then_some(item.version)?
+            (item.value == value.as_bytes()).then_some(())?;
         }
+    }
+    let Ok(epoch) = epoch::next(entry).await else {
+        let _ = entry.store.revoke(lease).await;
+        return None;
     };
-    let epoch = u64::try_from(revision).unwrap_or_default();
     log::info!("event=planner-acquired epoch={epoch}");
     let now = clock::now();
     let (notes, inbox) = mpsc::unbounded_channel();
@@ -171,6 +175,8 @@
 fn take_in(entry: &Arc<Entry>, duty: &mut Duty, now: Millis) {
     let mut core = entry.core();
     let lost = core.members.expire(now);
+    let heard = core.members.iter().map(|member| member.frame.epoch).max();
+    duty.lost |= heard.is_some_and(|heard| duty.epoch < heard);
     core.gangs.expire(now);
     let reports: Vec<_> = core.members.iter().map(|member| member::report(&member.frame)).collect();
     let fleet = config::fleet(&core.document);
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,8 +2,10 @@
 
 pub mod access;
 pub mod agent;
+pub mod agent_announce;
 pub mod agent_answer;
 pub mod agent_command;
+pub mod agent_health;
 pub mod agent_report;
 pub mod agent_run;
 pub mod agent_service;
@@ -42,6 +44,7 @@
 pub mod entry_route;
 pub mod entry_service;
 pub mod entry_upload;
+pub mod epoch;
 pub mod job;
 pub mod launch;
 pub mod logs;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Arg;
 use clap::ArgMatches;
@@ -17,6 +18,10 @@
 use log::LevelFilter;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::time;
+
+/// Bound on a graceful stop.
+const STOP_LIMIT: Duration = Duration::from_secs(60);
 
 fn command() -> Command {
     let settings =
@@ -96,19 +101,29 @@
             let handle =
                 entry::start(&settings, role).await.map_err(|report| format!("{report:#}"))?;
             terminated().await;
-            handle.stop().await;
+            bounded(handle.stop()).await;
         }
         Role::Agent(role) => {
             let handle =
                 agent::start(&settings, role).await.map_err(|report| format!("{report:#}"))?;
             terminated().await;
-            handle.stop().await;
+            bounded(handle.stop()).await;
         }
     }
     log::info!("event=stopped");
     Ok(())
 }
 
+/// Waits for a graceful stop, until a second signal or [`STOP_LIMIT`] cuts it short.
+async fn bounded(stop: impl Future<Output = ()>) {
+    log::info!("event=stopping");
+    tokio::select! {
+        () = stop => {}
+        () = terminated() => log::warn!("event=stop-cut-short cause=\"second signal\""),
+        () = time::sleep(STOP_LIMIT) => log::warn!("event=stop-cut-short cause=\"time is up\""),
+    }
+}
+
 /// Waits for SIGTERM or SIGINT.
 async fn terminated() {
     let (Ok(mut terminate), Ok(mut interrupt)) =
--- a/daemon/src/member.rs
+++ b/daemon/src/member.rs
@@ -9,14 +9,20 @@
 use lavendergauge_lib::fleet::Task;
 use lavendergauge_lib::name::Name;
 use lavendergauge_lib::route::Announced;
+use lavendergauge_lib::standing::Event;
+use lavendergauge_lib::standing::Machine;
+use lavendergauge_lib::standing::Phase;
+use lavendergauge_wire::announce;
 use lavendergauge_wire::announce::Frame;
 use lavendergauge_wire::announce::Health;
-use lavendergauge_wire::announce::Phase;
 
-/// Silence after which a worker gets no new work.
-pub const SUSPECT_AFTER: Duration = Duration::from_millis(2000);
-/// Silence after which a worker counts as lost, longer than any lease it holds.
-pub const LOST_AFTER: Duration = Duration::from_secs(10);
+pub use lavendergauge_lib::standing::LOST_AFTER;
+pub use lavendergauge_lib::standing::SUSPECT_AFTER;
+
+/// Silence of a process after which another one of the same name takes its place.
+const REPLACE_AFTER: Duration = Duration::from_millis(1000);
+/// Time between two looks at the table from which this entry itself counts as paused.
+const PAUSE: Duration = Duration::from_millis(1500);
 
 /// One agent and what is known of it.
 #[row]
@@ -25,6 +31,8 @@
     pub frame: Frame,
     /// When that came.
     pub seen: Millis,
+    /// How it stands.
+    pub standing: Machine,
 }
 
 /// All agents that announce themselves here.
@@ -32,32 +40,65 @@
 #[derive(Default)]
 pub struct Table {
     members: HashMap<Name, Member>,
+    ticked: Option<Millis>,
+    lost: Vec<Name>,
 }
 
 impl Table {
-    /// Takes in an announcement; an older one than the last changes nothing.
+    /// Takes in an announcement.
+    ///
+    /// An older one than the last changes nothing. Another process of the same name is taken
+    /// for the successor once its predecessor leaves or is silent, so that a late announcement of
+    /// a dead process does not push out the living one.
     pub fn announce(&mut self, now: Millis, frame: Frame) {
         let name = Name::from(&frame.worker);
-        let stale = self.members.get(&name).is_some_and(|known| {
-            known.frame.incarnation == frame.incarnation && frame.sequence <= known.frame.sequence
-        });
-        if !stale {
-            self.members.insert(name, Member { frame, seen: now });
+        let event = if frame.leaving { Event::Leaving(now) } else { Event::Heard(now) };
+        let Some(known) = self.members.get_mut(&name) else {
+            self.lost.retain(|lost| *lost != name);
+            self.members.insert(name, Member::new(now, frame, event));
+            return;
+        };
+        if known.frame.incarnation == frame.incarnation {
+            if known.frame.sequence < frame.sequence {
+                known.standing.apply(event);
+                known.seen = now;
+                known.frame = frame;
+            }
+            return;
+        }
+        if known.frame.leaving || REPLACE_AFTER < now.since(known.seen) {
+            log::info!("event=worker-replaced worker={name} incarnation={}", frame.incarnation);
+            *known = Member::new(now, frame, event);
         }
     }
 
-    /// Removes and returns the workers that have been silent for [`LOST_AFTER`].
-    pub fn expire(&mut self, now: Millis) -> Vec<Name> {
-        let lost: Vec<Name> = self
-            .members
-            .iter()
-            .filter(|(_, member)| LOST_AFTER < now.since(member.seen))
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in &lost {
+    /// Lets time pass for every worker; a pause of this entry itself is nobody's silence.
+    pub fn tick(&mut self, now: Millis) {
+        let gap = self.ticked.map_or(Duration::ZERO, |ticked| now.since(ticked));
+        self.ticked = Some(now);
+        for (name, member) in &mut self.members {
+            if PAUSE < gap {
+                member.standing.apply(Event::Paused(gap));
+            }
+            let before = member.standing.phase();
+            member.standing.apply(Event::Tick(now));
+            let after = member.standing.phase();
+            if before != after {
+                log::info!("event=worker-standing worker={name} from={before:?} to={after:?}");
+            }
+            if after == Phase::Lost && !self.lost.contains(name) {
+                self.lost.push(name.clone());
+            }
+        }
+        for name in &self.lost {
             self.members.remove(name);
         }
-        lost
+    }
+
+    /// Returns the workers that were lost since the last call; they are no members any more.
+    pub fn expire(&mut self, now: Millis) -> Vec<Name> {
+        self.tick(now);
+        std::mem::take(&mut self.lost)
     }
 
     /// Returns every member.
@@ -83,7 +124,7 @@
                 slots: member.frame.slots,
                 used: member.frame.load.slots_used,
                 ready: open(&member.frame.data_centre)
-                    && !member.frame.leaving
+                    && member.standing.takes_work()
                     && member.frame.health == Health::Good
                     && now.since(member.seen) <= SUSPECT_AFTER,
             })
@@ -91,6 +132,14 @@
     }
 }
 
+impl Member {
+    fn new(now: Millis, frame: Frame, event: Event) -> Self {
+        let mut standing = Machine::new(now);
+        standing.apply(event);
+        Member { frame, seen: now, standing }
+    }
+}
+
 /// Turns an announcement into what the planner takes in.
 pub fn report(frame: &Frame) -> Report {
     Report {
@@ -106,7 +155,13 @@
             .tasks
             .iter()
             .filter(|task| {
-                matches!(task.phase, Phase::Held | Phase::Armed | Phase::Running | Phase::Stopping)
+                matches!(
+                    task.phase,
+                    announce::Phase::Held
+                        | announce::Phase::Armed
+                        | announce::Phase::Running
+                        | announce::Phase::Stopping
+                )
             })
             .map(|task| Task {
                 job: Name::from(&task.job),
@@ -115,7 +170,7 @@
                 accelerators: task.accelerators.iter().copied().collect(),
                 processors: task.processors,
                 memory_mb: task.memory_mb,
-                running: task.phase == Phase::Running,
+                running: task.phase == announce::Phase::Running,
             })
             .collect(),
     }
--- /dev/null
+++ b/daemon/tests/member_table.rs
@@ -0,0 +1,129 @@
+//! Workers are known by their process, not by their name or address alone.
+
+use std::time::Duration;
+
+use lavendergauge_daemon::clock;
+use lavendergauge_daemon::embedded;
+use lavendergauge_daemon::embedded::Plan;
+use lavendergauge_daemon::epoch;
+use lavendergauge_daemon::member::Table;
+use lavendergauge_fakes::kv::Fault;
+use lavendergauge_lib::clock::Millis;
+use lavendergauge_lib::name::Name;
+use lavendergauge_wire::announce::Frame;
+use lavendergauge_wire::announce::Reply;
+use lavendergauge_wire::codec;
+use serde_json::json;
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+fn frame(incarnation: u64, sequence: u64) -> Frame {
+    serde_json::from_value(json!({"version": 1, "worker": "worker-1", "address": "127.0.0.1:1",
+        "incarnation": incarnation, "sequence": sequence, "data_centre": "zilina-1",
+        "rack": "rack-1", "accelerators": 8, "processors": 64, "memory_mb": 1, "slots": 8,
+        "connections": 64, "load": {"slots_used": 0, "connections_used": 0}, "health": "good",
+        "leaving": false, "revision": 0, "tasks": []}))
+    .expect("frame")
+}
+
+fn known(table: &Table) -> (u64, u64) {
+    let member = table.find(&Name::from("worker-1")).expect("known");
+    (member.frame.incarnation, member.frame.sequence)
+}
+
+#[test]
+fn late_frame_dropped() {
+    let mut table = Table::default();
+    table.announce(Millis(0), frame(7, 2));
+    table.announce(Millis(1), frame(7, 1));
+    assert_eq!(known(&table), (7, 2));
+    table.announce(Millis(2000), frame(8, 1));
+    assert_eq!(known(&table), (8, 1));
+    table.announce(Millis(2100), frame(7, 3));
+    assert_eq!(known(&table), (8, 1), "a late word of the predecessor changes nothing");
+}
+
+#[test]
+fn lost_then_back() {
+    let mut table = Table::default();
+    table.announce(Millis(0), frame(7, 1));
+    let mut now = 0;
+    while now < 13_000 {
+        now += 500;
+        table.tick(Millis(now));
+    }
+    assert!(table.find(&Name::from("worker-1")).is_none());
+    table.announce(Millis(now), frame(7, 9));
+    assert_eq!(table.expire(Millis(now + 1)), Vec::<Name>::new(), "it is back");
+}
+
+#[test]
+fn entry_paused() {
+    let mut table = Table::default();
+    table.announce(Millis(0), frame(7, 1));
+    table.tick(Millis(100));
+    assert_eq!(table.expire(Millis(60_000)), Vec::<Name>::new());
+    assert!(table.find(&Name::from("worker-1")).is_some());
+}
+
+/// Bytes a second that a node may spend on control.
+const NODE_BYTES_PER_S: usize = 30_000;
+/// Entries of a fleet of the design size.
+const ENTRIES: usize = 12;
+/// Most bytes of the heads of one HTTP request and its answer between our processes.
+const HEAD_BYTES: usize = 400;
+
+#[test]
+fn worker_bytes() {
+    let task = json!({"job": "0123456789abcdef", "attempt": 1, "member": 0, "phase": "running",
+        "accelerators": [0, 1, 2, 3, 4, 5, 6, 7], "processors": 64, "memory_mb": 131072});
+    let mut busy = frame(u64::MAX, 1 << 40);
+    busy.tasks = vec![serde_json::from_value(task).expect("task"); 8];
+    let addresses = vec!["10.100.100.100:7001"; ENTRIES];
+    let reply: Reply = serde_json::from_value(json!({"version": 1, "entry": "entry-01",
+        "revision": 1_u64 << 40, "entries": addresses, "permit": {"data_centre": "zilina-1",
+        "revision": 1_u64 << 40, "lasts_ms": 2500}}))
+    .expect("reply");
+    let bytes = |frame: &Frame| codec::pack(frame).expect("packed").len();
+    let (idle, busy) = (bytes(&frame(u64::MAX, 1 << 40)), bytes(&busy));
+    let reply = codec::pack(&reply).expect("packed").len();
+    println!("bytes: idle frame {idle}, frame with 8 tasks {busy}, reply {reply}");
+    assert!(ENTRIES * (busy + reply + HEAD_BYTES) <= NODE_BYTES_PER_S);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_found() {
+    let plan = Plan::default();
+    let mut fleet = embedded::start(&plan).await.expect("starts");
+    fleet.add_entry(&plan).await.expect("starts");
+    let workers = fleet.workers.len();
+    let hears = |entry: usize| fleet.entries[entry].entry.core().members.iter().count();
+    embedded::until(LIMIT, "workers find the new entry", || async { hears(1) == workers })
+        .await
+        .expect("in time");
+    fleet.entries.remove(0).kill().await;
+    let newest = || {
+        let core = fleet.entries[0].entry.core();
+        core.members.iter().map(|member| member.frame.sequence).min()
+    };
+    let before = newest();
+    let holds = || async { before.map(|sequence| sequence + 10) < newest() };
+    embedded::until(LIMIT, "a dead entry holds nobody up", holds).await.expect("in time");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn epoch_never_back() {
+    let fleet = embedded::start(&Plan { workers: 0, ..Plan::default() }).await.expect("starts");
+    let entry = &fleet.entries[0].entry;
+    let first = epoch::next(entry).await.expect("taken");
+    let backup = fleet.kv.snapshot();
+    let second = epoch::next(entry).await.expect("taken");
+    assert!(first < second);
+    let announced = Frame { epoch: second, ..frame(7, 1) };
+    entry.core().members.announce(clock::now(), announced);
+    fleet.kv.restore(backup);
+    let third = epoch::next(entry).await.expect("taken");
+    assert!(second < third, "{second} was announced, so {third} lies above");
+    fleet.kv.set_fault(Fault { lose_answers: 1, ..Fault::default() });
+    assert!(third < epoch::next(entry).await.expect("taken"));
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -27,5 +27,7 @@
 pub mod retry;
 pub mod route;
 pub mod shape;
+pub mod standing;
+mod standing_state;
 pub mod table;
 pub mod writer;
