agent: a leaving worker says so at once

Cause: the word that a worker leaves waited for the next announcement, which may come after the half second that it has before it stops; an entry that left could list itself again between its removal and its leave.

Change: a change wakes the announcer; the leave is marked while the lock of writes is held.

Conclusion: the interval no longer bounds how soon a leave is known.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -16,6 +16,7 @@
 use lavendergauge_net::client::Client;
 use lavendergauge_net::server;
 use lavendergauge_net::server::Answer;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time;
@@ -69,6 +70,8 @@
     pub target_client: Client,
     /// Answers of requests that are being made or kept.
     pub answers: agent_service::Answers,
+    /// Told when an announcement should not wait for its time.
+    pub changed: Notify,
     /// How the target answered the newest probes.
     pub probe: agent_health::Probe,
     core: Mutex<Core>,
@@ -98,6 +101,7 @@
     /// Announces that the worker leaves, finishes what is in flight and returns.
     pub async fn stop(self) {
         self.agent.core().leaving = true;
+        self.agent.changed.notify_one();
         time::sleep(LEAVE_GRACE).await;
         agent_service::drain(&self.agent).await;
         let _ = self.stop.send(true);
@@ -133,6 +137,7 @@
         client: Client::for_fleet(&settings.access.fleet_key, security.trust),
         target_client: agent_service::target_client(role.connections),
         answers: agent_service::Answers::default(),
+        changed: Notify::new(),
         probe: agent_health::Probe::default(),
         core: Mutex::new(Core {
             permit: permit::Gate::default(),
--- a/daemon/src/agent_announce.rs
+++ b/daemon/src/agent_announce.rs
@@ -74,7 +74,7 @@
     }
 }
 
-/// Announces the worker until the agent stops.
+/// Announces the worker, at intervals and when it changes, until the agent stops.
 pub async fn run(agent: Arc<Agent>, mut stopped: watch::Receiver<bool>) {
     let mut entries = Entries::default();
     let mut sent = JoinSet::new();
@@ -90,18 +90,19 @@
                 if let Some(reply) = reply {
                     entries.name(clock::now(), &reply.entries);
                 }
+                continue;
             }
-            _ = pace.tick() => {
-                round += 1;
-                let frame = Arc::new(frame(&agent));
-                for address in entries.due(clock::now(), round, &agent.settings.entries) {
-                    let (agent, frame) = (agent.clone(), frame.clone());
-                    sent.spawn(async move {
-                        let reply = tell(&agent, &address, &frame).await;
-                        (address, round, reply)
-                    });
-                }
-            }
+            _ = pace.tick() => {}
+            () = agent.changed.notified() => {}
+        }
+        round += 1;
+        let frame = Arc::new(frame(&agent));
+        for address in entries.due(clock::now(), round, &agent.settings.entries) {
+            let (agent, frame) = (agent.clone(), frame.clone());
+            sent.spawn(async move {
+                let reply = tell(&agent, &address, &frame).await;
+                (address, round, reply)
+            });
         }
     }
 }
--- a/daemon/src/config_sync.rs
+++ b/daemon/src/config_sync.rs
@@ -178,6 +178,7 @@
             let next = Envelope { serial, mark, writers, ..known };
             let _ = config_write::write(entry, next, "", &[]).await;
         }
+        entry.core().view.writers.leave();
     };
     let _ = time::timeout(LEAVE_LIMIT, leaving).await;
     entry.core().view.writers.leave();
--- a/daemon/tests/member_table.rs
+++ b/daemon/tests/member_table.rs
@@ -111,6 +111,25 @@
     embedded::until(LIMIT, "a dead entry holds nobody up", holds).await.expect("in time");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_told_at_once() {
+    let plan = Plan { announce_ms: 5000, ..Plan::default() };
+    let mut fleet = embedded::start(&plan).await.expect("starts");
+    let workers = fleet.workers.len();
+    let entry = fleet.entries[0].entry.clone();
+    let heard = || async { entry.core().members.iter().count() == workers };
+    embedded::until(LIMIT, "all are heard", heard).await.expect("in time");
+    let agent = fleet.workers[0].agent.take().expect("runs");
+    let name = Name::from(&fleet.workers[0].name);
+    let stop = tokio::spawn(agent.stop());
+    let left = || async {
+        let core = entry.core();
+        core.members.find(&name).is_some_and(|member| !member.standing.takes_work())
+    };
+    embedded::until(Duration::from_secs(2), "it is known to leave", left).await.expect("in time");
+    stop.await.expect("stopped");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn epoch_never_back() {
     let fleet = embedded::start(&Plan { workers: 0, ..Plan::default() }).await.expect("starts");
