config: an operator's word that an entry is gone

Cause: entries that all crashed and came back at new addresses stayed on the list of writers, and no change could be made ever again.

Change: DELETE /v1/entries/NAME takes an entry off the list, unless it answers.

Conclusion: the case that the permit rule gives up has a way out.

--- a/daemon/src/api_config.rs
+++ b/daemon/src/api_config.rs
@@ -63,6 +63,14 @@
     call.at_revision(status.revision, &status)
 }
 
+/// Takes an entry off the list of writers, by the operator's word that it is gone for good.
+pub async fn remove_entry(call: &Call) -> Reply {
+    let author = call.operator()?;
+    config_change::remove_writer(&call.entry, call.name(0)).await?;
+    log::info!("event=writer-removed entry={} author={author}", call.name(0));
+    status(call)
+}
+
 async fn carry_out(call: &Call, change: &Change, author: &str) -> Reply {
     if change.id.is_empty() || ID_LENGTH < change.id.len() {
         let hint = format!("1 to {ID_LENGTH} bytes, chosen by you and new for each change");
--- a/daemon/src/api_route.rs
+++ b/daemon/src/api_route.rs
@@ -32,6 +32,8 @@
     ListChanges,
     /// Tell where the configuration is in force.
     ShowStatus,
+    /// Take an entry that is gone off the list of writers.
+    RemoveEntry,
     /// List client accounts.
     ListAccounts,
     /// Show a client account.
@@ -118,6 +120,7 @@
     route(Method::GET, "/v1/config/changes/{change}", Operation::ShowChange, "", "config.Made", "Show what became of a change"),
     route(Method::GET, "/v1/config/history", Operation::ListChanges, "", "[]config.Made", "List the newest accepted changes, oldest first"),
     route(Method::GET, "/v1/config/status", Operation::ShowStatus, "", "api.Status", "Tell where the configuration is in force"),
+    route(Method::DELETE, "/v1/entries/{entry}", Operation::RemoveEntry, "", "api.Status", "Say that an entry is gone for good, so that the others may write without it"),
     route(Method::GET, "/v1/accounts", Operation::ListAccounts, "", "[]config.Account", "List client accounts"),
     route(Method::GET, "/v1/accounts/{account}", Operation::ShowAccount, "", "config.Account", "Show a client account"),
     route(Method::PUT, "/v1/accounts/{account}", Operation::PutAccount, "config.Account", "config.Document", "Create or replace a client account"),
@@ -203,6 +206,7 @@
         Operation::ShowChange => api_config::show_change(call),
         Operation::ListChanges => api_config::list_changes(call),
         Operation::ShowStatus => api_config::status(call),
+        Operation::RemoveEntry => api_config::remove_entry(call).await,
         Operation::ListAccounts => api_account::list(call),
         Operation::ShowAccount => api_account::show(call),
         Operation::PutAccount => api_account::put(call).await,
--- a/daemon/src/config_change.rs
+++ b/daemon/src/config_change.rs
@@ -11,6 +11,7 @@
 use lavendergauge_wire::config::Document;
 use lavendergauge_wire::config::Envelope;
 use lavendergauge_wire::config::Made;
+use lavendergauge_wire::config::Writer;
 use lavendergauge_wire::problem::Outcome;
 use sha2::Digest;
 use sha2::Sha256;
@@ -32,6 +33,8 @@
 const HISTORY: usize = 256;
 /// Longest wait for leave to write.
 const LEAVE_WAIT: Duration = Duration::from_secs(8);
+/// Time since its last word within which an entry counts as one that answers.
+const ANSWERS_WITHIN: Duration = Duration::from_secs(5);
 /// Pause between two looks at whether this entry may write.
 const LEAVE_LOOK: Duration = Duration::from_millis(50);
 /// Writes that other entries' own may overtake before the operator is told to come back.
@@ -77,6 +80,58 @@
     core.view.envelope().map(|envelope| envelope.changes.clone()).unwrap_or_default()
 }
 
+/// Takes an entry off the list of writers, because an operator says that it is gone for good.
+///
+/// The word must be true: an entry that still lives, cut off from all others, would go on to
+/// start work without hearing of later changes.
+///
+/// # Errors
+/// The problem document: there is no such entry, it still answers, or the store does not.
+pub async fn remove_writer(entry: &Arc<Entry>, name: &str) -> Result<(), Refusal> {
+    let (entry, name) = (entry.clone(), name.to_owned());
+    let removing = tokio::spawn(async move { remove(&entry, &name).await });
+    removing.await.unwrap_or_else(|error| Err(not_now(&error.to_string())))
+}
+
+async fn remove(entry: &Entry, name: &str) -> Result<(), Refusal> {
+    for _ in 0..TRIES {
+        let _writing = entry.writing.lock().await;
+        let next = without(entry, name)?;
+        match config_write::write(entry, next, "", &[]).await {
+            Ok(Written::Done) => return Ok(()),
+            Ok(Written::Lost) => {}
+            Err(error) if error.never_sent() => return Err(not_now(&error.to_string())),
+            Err(error) => return Err(api::unwritten(&error)),
+        }
+    }
+    Err(not_now("other entries kept writing first"))
+}
+
+/// Makes the envelope without an entry that does not answer.
+fn without(entry: &Entry, name: &str) -> Result<Envelope, Refusal> {
+    let now = clock::now();
+    let core = entry.core();
+    let view = &core.view;
+    let Some(known) = view.envelope() else { return Err(api::missing("entry", name)) };
+    let is_meant = |writer: &Writer| writer.name == name && writer.incarnation != entry.incarnation;
+    if !known.writers.iter().any(is_meant) {
+        return Err(api::missing("other entry", name));
+    }
+    let answers = |writer: &Writer| {
+        let heard = view.writers.heard(writer.incarnation);
+        heard.is_some_and(|(asked, word)| now.since(*asked) < ANSWERS_WITHIN && !word.left)
+    };
+    if known.writers.iter().any(|writer| is_meant(writer) && answers(writer)) {
+        return Err(api::conflict("entry answers", format!("entry `{name}` is not gone")));
+    }
+    if view.writers.bar_listing(now).is_some() || view.doubt.is_some() || !view.is_stored() {
+        return Err(not_now("this entry may not write now"));
+    }
+    let mut writers = known.writers.clone();
+    writers.retain(|writer| !is_meant(writer));
+    Ok(Envelope { serial: known.serial + 1, mark: rand::random(), writers, ..known.clone() })
+}
+
 /// Makes the refusal of a change that was certainly not made and may be made later.
 fn not_now(text: &str) -> Refusal {
     let status = StatusCode::SERVICE_UNAVAILABLE;
--- a/daemon/tests/config_change.rs
+++ b/daemon/tests/config_change.rs
@@ -130,3 +130,27 @@
     let again = post(&fleet, 0, &change("gone", 1, "brno")).await;
     assert_eq!(again.status(), 200, "{}", body(&again));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn writer_gone() {
+    let mut fleet = fleet(1).await;
+    let name = fleet.entries[0].entry.name.clone();
+    fleet.entries.remove(0).kill().await;
+    let text = embedded::entry_text(&Plan::default(), "late", "zilina-1", &fleet.store_address());
+    let settings = lavendergauge_daemon::settings::parse(&text).expect("settings");
+    fleet.start_entry(&settings).await.expect("starts");
+    let listed = || async { get(&fleet, 0, "/v1/config/status").await["entries"][1].is_object() };
+    embedded::until(LIMIT, "the dead entry is known", listed).await.expect("in time");
+    let place = get(&fleet, 0, "/v1/config/status").await["entries"][0].clone();
+    assert_eq!(place["writes"], false, "the dead entry has not acknowledged this one");
+    let path = format!("/v1/entries/{name}");
+    let own = fleet.api(0, Method::DELETE, "/v1/entries/late", &Value::Null).await;
+    assert_eq!(own.expect("answered").status(), 404);
+    let holds = || async {
+        let answer = fleet.api(0, Method::DELETE, &path, &Value::Null).await.expect("answered");
+        answer.status() == 200
+    };
+    embedded::until(LIMIT, "its removal is accepted", holds).await.expect("in time");
+    let answer = post(&fleet, 0, &change("after", 1, "brno")).await;
+    assert_eq!(answer.status(), 200, "{}", body(&answer));
+}
