planner: guarantees with a witness plan, reclaim, drains, fair lines, probation

Cause: the planner had no witness plan and checked neither a claim's owner nor its shape; it never removed accounts, guarantees or data centres; it kept places on lost workers and ignored what agents held, a new incarnation or a changed capacity; a claim's freed space could be taken by others; every waiting job was tried in every tick, also right after an aborted attempt; and a worker had at most 64 accelerators.

Change: each guarantee has a hold, and holds plus jobs that cannot be evicted never exceed a worker. Claims run inside their hold; borrowers leave for them, cheapest first, and what they free is kept. Jobs past their bound get drained space, which others fill only if they can be stopped. Waiting jobs stand in lines of equals ordered by class and decayed dominant share. Workers that fail what others run go on probation and come back by trials; a job that fails everywhere is ended and blames none. `explain` says in types why a job waits. `guarantee::unfit` says which guarantees of a configuration a fleet cannot keep.

--- a/daemon/src/duty_follow.rs
+++ b/daemon/src/duty_follow.rs
@@ -283,11 +283,21 @@
                 run.stop = Some((notice, format!("{cause:?}")));
             }
         }
-        Action::Refuse { job, reason } => {
+        Action::Refuse { job, reason } | Action::Fail { job, reason } => {
             log::info!("event=refuse job={job} reason=\"{reason}\"");
             let settlement = Settlement { reason, ..Settlement::of_launch(Change::Refuse, None) };
             duty_run::settle(entry, &duty.notes, &job, settlement);
         }
+        Action::Stranded { job, reason } => {
+            log::info!("event=stranded job={job} reason=\"{reason}\"");
+        }
+        Action::Throttle { job, attempt, worker, processors, memory_mb } => log::info!(
+            "event=throttle job={job} attempt={attempt} worker={worker} processors={processors} \
+             memory_mb={memory_mb}"
+        ),
+        Action::Met { account, guarantee } => {
+            log::info!("event=guarantee-met account={account} guarantee={guarantee}");
+        }
         Action::Unmet { account, guarantee, reason } => log::warn!(
             "event=guarantee-unmet account={account} guarantee={guarantee} reason=\"{reason}\""
         ),
--- a/daemon/src/preview.rs
+++ b/daemon/src/preview.rs
@@ -2,6 +2,7 @@
 
 use lavendergauge_derive::row;
 use lavendergauge_lib::name::Name;
+use lavendergauge_lib::planner;
 use lavendergauge_lib::planner::Action;
 use lavendergauge_lib::planner::Event;
 use lavendergauge_lib::planner::Planner;
@@ -36,7 +37,7 @@
     pub records: Vec<Record>,
 }
 
-/// Returns the decisions of a planner's first tick on a scene.
+/// Returns the decisions of a planner on a scene, once it takes the fleet for complete.
 pub fn decide(scene: &Scene) -> Vec<Action> {
     let now = clock::now();
     let mut planner = Planner::default();
@@ -52,7 +53,9 @@
     for record in records {
         planner.apply(now, Event::Submit(submission(record)));
     }
-    planner.tick(now)
+    let mut actions = planner.tick(now);
+    actions.extend(planner.tick(now + planner::SETTLE));
+    actions
 }
 
 /// Turns a record into what the planner takes in, with the seats of a live attempt.
--- /dev/null
+++ b/lib/src/fair.rs
@@ -0,0 +1,69 @@
+//! Fair shares of spare capacity: dominant shares, averaged over time with decay.
+
+use std::time::Duration;
+
+use lavendergauge_derive::row;
+
+use crate::clock::Millis;
+use crate::key;
+use crate::room::Room;
+use crate::table::Tables;
+
+/// Time after which what an account held counts half.
+const HALF_LIFE: Duration = Duration::from_secs(3600);
+
+/// Decayed average of the dominant share that an account held.
+///
+/// An account that was idle earns no credit beyond the average's fall to zero, and one
+/// that held much is not held back for longer than a few half-lives.
+#[row]
+#[derive(Copy, Default)]
+pub struct Usage {
+    average: f64,
+    at: Millis,
+}
+
+impl Usage {
+    /// Returns the average at `now` for an account that has held `share` since it was settled.
+    ///
+    /// ```
+    /// use lavendergauge_lib::clock::Millis;
+    /// use lavendergauge_lib::fair::Usage;
+    /// let hour = Usage::default().average(Millis(3_600_000), 1.0);
+    /// assert!((hour - 0.5).abs() < 1e-9);
+    /// ```
+    pub fn average(&self, now: Millis, share: f64) -> f64 {
+        let half_lives = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let kept = (-half_lives).exp2();
+        self.average * kept + share * (1.0 - kept)
+    }
+
+    /// Brings the average up to `now`, before the held share changes.
+    pub(crate) fn settle(&mut self, now: Millis, share: f64) {
+        self.average = self.average(now, share);
+        self.at = now;
+    }
+}
+
+/// Returns the largest of the shares that an amount has of the fleet's capacities.
+///
+/// ```
+/// use lavendergauge_lib::fair;
+/// use lavendergauge_lib::room::Room;
+/// let fleet = Room { accelerators: 8, processors: 64, memory_mb: 0 };
+/// let held = Room { accelerators: 2, processors: 32, memory_mb: 0 };
+/// assert_eq!(fair::dominant(held, fleet), 0.5);
+/// ```
+pub fn dominant(held: Room, fleet: Room) -> f64 {
+    let share = |held: f64, all: f64| if 0.0 < all { held / all } else { 0.0 };
+    share(f64::from(held.accelerators), f64::from(fleet.accelerators))
+        .max(share(f64::from(held.processors), f64::from(fleet.processors)))
+        .max(share(held.memory_mb as f64, fleet.memory_mb as f64))
+}
+
+/// Returns an account's standing among those that ask for spare capacity; the lowest goes first.
+pub(crate) fn standing(tables: &Tables, now: Millis, account: key::Account) -> f64 {
+    let row = &tables.accounts[account];
+    let share = dominant(row.room, tables.fleet);
+    (share + row.usage.average(now, share)) / f64::from(row.weight.max(1))
+}
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -51,6 +51,8 @@
     pub compactness_percent: u32,
     /// Time that a borrower has to checkpoint before it is stopped.
     pub notice: Duration,
+    /// Validity of a gang lease, after which members that were not heard of have stopped.
+    pub lease: Duration,
 }
 
 impl Default for Policy {
@@ -59,6 +61,7 @@
             large_wait: Duration::from_secs(120),
             compactness_percent: 50,
             notice: Duration::from_secs(1),
+            lease: Duration::from_secs(8),
         }
     }
 }
--- /dev/null
+++ b/lib/src/guarantee.rs
@@ -0,0 +1,217 @@
+//! Whether a set of guarantees fits a fleet, and which one does not and why.
+
+use std::collections::BTreeMap;
+
+use lavendergauge_derive::value;
+use smallvec::SmallVec;
+
+use crate::fleet;
+use crate::fleet::Config;
+use crate::fleet::Report;
+use crate::name::Name;
+use crate::pack::Demand;
+use crate::pack::Packing;
+use crate::pack::Site;
+use crate::room::Room;
+use crate::shape::Adjacency;
+use crate::shape::Shape;
+
+/// Why a guarantee does not fit.
+#[derive(thiserror::Error)]
+#[value]
+pub enum Reason {
+    /// The shape asks for nothing.
+    #[error("the shape has no accelerators")]
+    Empty,
+    /// No allowed data centre is open with a worker in it.
+    #[error("no allowed data centre is open with a worker that takes work")]
+    NoDataCentre,
+    /// Even alone in the fleet, it would not fit.
+    #[error("{needed} accelerators are needed in one {unit}, the widest allowed has {widest}")]
+    TooWide {
+        /// Accelerators of the whole shape.
+        needed: u32,
+        /// What they must all be in.
+        unit: Unit,
+        /// Accelerators in the widest such unit that is allowed.
+        widest: u32,
+    },
+    /// Accelerators would do, but no unit has processors and memory for every member.
+    #[error(
+        "no allowed {unit} has {members} times {processors} processors and {memory_mb} MB beside the accelerators"
+    )]
+    TooHeavy {
+        /// What the members must all be in.
+        unit: Unit,
+        /// Members of the shape.
+        members: u32,
+        /// Processor cores of each.
+        processors: u32,
+        /// Memory of each, in megabytes.
+        memory_mb: u64,
+    },
+    /// It would fit alone, but not with what is promised to others.
+    #[error(
+        "{promised} of {total} accelerators are promised already, and no allowed {unit} keeps {needed} together"
+    )]
+    Promised {
+        /// Accelerators promised in the allowed data centres.
+        promised: u32,
+        /// Accelerators in the allowed data centres.
+        total: u32,
+        /// What the shape must all be in.
+        unit: Unit,
+        /// Accelerators of the whole shape.
+        needed: u32,
+    },
+}
+
+/// A unit of adjacency, in words.
+#[value]
+pub struct Unit(pub Adjacency);
+
+impl std::fmt::Display for Unit {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self.0 {
+            Adjacency::Worker => "worker",
+            Adjacency::Rack => "rack",
+            Adjacency::DataCentre => "data centre",
+        })
+    }
+}
+
+/// A guarantee that does not fit with those before it.
+#[value]
+pub struct Unfit {
+    /// Name of the client account.
+    pub account: Name,
+    /// Name of the guarantee.
+    pub guarantee: Name,
+    /// Why it does not fit.
+    pub reason: Reason,
+}
+
+/// Returns the guarantees of a configuration that a fleet cannot keep with all those before them.
+///
+/// The order is the configuration's own. Workers that leave, and those in data centres that
+/// are not open, count for nothing. An empty answer means that a plan for all exists.
+///
+/// ```
+/// use lavendergauge_lib::fleet::Config;
+/// use lavendergauge_lib::guarantee;
+/// assert!(guarantee::unfit(&Config::default(), &[]).is_empty());
+/// ```
+pub fn unfit(config: &Config, fleet: &[Report]) -> Vec<Unfit> {
+    let centres: BTreeMap<&Name, u32> = config
+        .zones
+        .iter()
+        .filter(|zone| zone.open)
+        .enumerate()
+        .map(|(index, zone)| (&zone.name, index as u32))
+        .collect();
+    let sites = sites(&centres, fleet);
+    let mut packing = Packing::new(sites.clone());
+    let mut promised = Vec::new();
+    let mut unfit = Vec::new();
+    for account in &config.accounts {
+        for guarantee in &account.guarantees {
+            let demand = demand(&centres, guarantee);
+            let reason = match alone(&sites, &demand) {
+                Err(reason) => reason,
+                Ok(()) if packing.insert(demand.clone()) => {
+                    promised.push(demand);
+                    continue;
+                }
+                Ok(()) => {
+                    packing.remove_last();
+                    crowded(&sites, &promised, &demand)
+                }
+            };
+            let (account, guarantee) = (account.name.clone(), guarantee.name.clone());
+            unfit.push(Unfit { account, guarantee, reason });
+        }
+    }
+    unfit
+}
+
+/// Returns the workers that take work, in order of data centre and rack.
+fn sites(centres: &BTreeMap<&Name, u32>, fleet: &[Report]) -> Vec<Site> {
+    let mut racks = BTreeMap::new();
+    let mut sites: Vec<Site> = fleet
+        .iter()
+        .filter(|report| !report.leaving)
+        .filter_map(|report| {
+            let &data_centre = centres.get(&report.data_centre)?;
+            let next = racks.len() as u32;
+            let rack = *racks.entry((data_centre, &report.rack)).or_insert(next);
+            let room = Room {
+                accelerators: u32::from(report.accelerators),
+                processors: report.processors,
+                memory_mb: report.memory_mb,
+            };
+            Some(Site { data_centre, rack, room })
+        })
+        .collect();
+    sites.sort_by_key(|site| (site.data_centre, site.rack));
+    sites
+}
+
+fn demand(centres: &BTreeMap<&Name, u32>, guarantee: &fleet::Guarantee) -> Demand {
+    let allowed: SmallVec<[u32; 4]> =
+        guarantee.data_centres.iter().filter_map(|name| centres.get(name).copied()).collect();
+    let allowed = (!guarantee.data_centres.is_empty()).then_some(allowed);
+    Demand { shape: guarantee.shape, allowed }
+}
+
+fn allows(demand: &Demand, site: &Site) -> bool {
+    demand.allowed.as_ref().is_none_or(|allowed| allowed.contains(&site.data_centre))
+}
+
+/// Tells whether a shape fits an empty fleet.
+pub(crate) fn alone(sites: &[Site], demand: &Demand) -> Result<(), Reason> {
+    let shape = demand.shape;
+    if shape.members == 0 || shape.member() == Room::default() {
+        return Err(Reason::Empty);
+    }
+    let allowed: Vec<&Site> = sites.iter().filter(|site| allows(demand, site)).collect();
+    if allowed.is_empty() {
+        return Err(Reason::NoDataCentre);
+    }
+    let mut units: BTreeMap<(u32, u32, usize), (u32, u64, u64)> = BTreeMap::new();
+    for (index, site) in allowed.into_iter().enumerate() {
+        let unit = match shape.adjacency {
+            Adjacency::Worker => (site.data_centre, site.rack, index),
+            Adjacency::Rack => (site.data_centre, site.rack, 0),
+            Adjacency::DataCentre => (site.data_centre, 0, 0),
+        };
+        let (wide, by_accelerators, by_all) = units.entry(unit).or_default();
+        let only = Room { accelerators: shape.accelerators, ..Room::default() };
+        *wide += site.room.accelerators;
+        *by_accelerators += u64::from(site.room.holds(only, shape.members));
+        *by_all += u64::from(site.room.holds(shape.member(), shape.members));
+    }
+    let members = u64::from(shape.members);
+    if units.values().any(|&(_, _, all)| members <= all) {
+        return Ok(());
+    }
+    let unit = Unit(shape.adjacency);
+    if units.values().any(|&(_, accelerators, _)| members <= accelerators) {
+        let Shape { members, processors, memory_mb, .. } = shape;
+        return Err(Reason::TooHeavy { unit, members, processors, memory_mb });
+    }
+    let widest = units.values().map(|&(wide, ..)| wide).max().unwrap_or_default();
+    Err(Reason::TooWide { needed: shape.total(), unit, widest })
+}
+
+/// Says what stands in the way of a shape that would fit alone.
+pub(crate) fn crowded(sites: &[Site], promised: &[Demand], demand: &Demand) -> Reason {
+    let meets =
+        |other: &Demand| sites.iter().any(|site| allows(demand, site) && allows(other, site));
+    let allowed = sites.iter().filter(|site| allows(demand, site));
+    Reason::Promised {
+        promised: promised.iter().filter(|other| meets(other)).map(|o| o.shape.total()).sum(),
+        total: allowed.map(|site| site.room.accelerators).sum(),
+        unit: Unit(demand.shape.adjacency),
+        needed: demand.shape.total(),
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,31 @@
 //! its events as values and returns typed actions, so that every decision can
 //! be replayed from its inputs.
 
+// Placement.
+pub mod adjacency;
+mod backlog;
+mod census;
+mod claim;
+mod configure;
+mod drain;
+pub mod estimate;
+mod evacuate;
+pub mod explain;
+pub mod fair;
+mod ground;
+pub mod guarantee;
+mod ledger;
+mod pack;
+mod place;
+pub mod probation;
+mod reclaim;
+pub mod room;
+mod seat;
+pub mod set;
+mod usage;
+mod witness;
+
+// Requests, gangs, the store, and what all share.
 pub mod backoff;
 pub mod budget;
 pub mod clock;
--- a/lib/src/planner.rs
+++ b/lib/src/planner.rs
@@ -1,30 +1,58 @@
 //! The planner: takes events into the tables and, each tick, decides what starts and stops.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
+use lavendergauge_derive::row;
 use lavendergauge_derive::value;
 use smallvec::SmallVec;
 
+use crate::backlog::Backlog;
+use crate::census;
+use crate::claim;
 use crate::clock::Millis;
+use crate::configure;
+use crate::drain;
+use crate::estimate;
+use crate::evacuate;
+use crate::explain;
+use crate::explain::Explanation;
 use crate::fleet::Config;
 use crate::fleet::Report;
+use crate::ground::Ground;
 use crate::key;
+use crate::ledger;
 use crate::name::Name;
-use crate::shape::Accelerators;
-use crate::shape::Adjacency;
+use crate::probation;
+use crate::room::Room;
+use crate::set::Set;
 use crate::shape::Seat;
 use crate::shape::Seats;
 use crate::shape::Shape;
-use crate::table::Account;
 use crate::table::Class;
-use crate::table::DataCentre;
 use crate::table::Job;
 use crate::table::Place;
-use crate::table::Rack;
+use crate::table::Places;
 use crate::table::State;
 use crate::table::Tables;
-use crate::table::Worker;
+use crate::usage;
+use crate::witness;
+
+/// Time for a fleet to announce itself before a job can be refused for want of it.
+pub const SETTLE: Duration = Duration::from_secs(2);
+/// Time for which a job waits for a configuration that knows its account and guarantee.
+const CONFIG_LAG: Duration = Duration::from_secs(10);
+/// Pause after an attempt that never ran; doubles with each one in a row.
+const RETRY_FIRST: Duration = Duration::from_millis(200);
+/// Longest pause after an attempt that never ran.
+const RETRY_LAST: Duration = Duration::from_secs(10);
+/// Longest pause of a claim, which has to start within seconds.
+const RETRY_CLAIM: Duration = Duration::from_millis(400);
+/// Time beyond the notice and the lease after which an attempt that is not heard of has stopped.
+const LEASE_MARGIN: Duration = Duration::from_millis(500);
+/// Interval at which jobs past their bound are given space to drain.
+const DRAIN_EVERY: Duration = Duration::from_secs(1);
+/// Workers that lately refused to start a job and are left out for it.
+const AVOIDED: usize = 2;
 
 /// A job as it enters the planner.
 #[value]
@@ -87,6 +115,19 @@
         /// The attempt.
         attempt: u32,
     },
+    /// What the members of a job use on one worker, as the worker reports with a lag.
+    Usage {
+        /// Identifier of the job.
+        job: Name,
+        /// The attempt.
+        attempt: u32,
+        /// The worker.
+        worker: Name,
+        /// Processor cores in use.
+        processors: u32,
+        /// Memory in use, in megabytes.
+        memory_mb: u64,
+    },
     /// A job has ended for good, whatever the outcome.
     Ended {
         /// Identifier of the job.
@@ -112,6 +153,12 @@
     DataCentreOut(Name),
     /// The worker leaves.
     WorkerLeaving(Name),
+    /// The worker of a member is gone, or has forgotten what it held.
+    WorkerLost(Name),
+    /// A job has waited for longer than may be.
+    LongWait(Name),
+    /// The job uses more than it declared.
+    Overuse(Name),
 }
 
 /// What the planner decided.
@@ -146,6 +193,40 @@
         /// Why it can run nowhere.
         reason: String,
     },
+    /// End a job that has failed where others run.
+    Fail {
+        /// Identifier of the job.
+        job: Name,
+        /// Why it is not tried again.
+        reason: String,
+    },
+    /// Tell that no worker that is left could run a waiting job.
+    Stranded {
+        /// Identifier of the job.
+        job: Name,
+        /// What it would need.
+        reason: String,
+    },
+    /// Hold the members of a job on one worker to their declaration.
+    Throttle {
+        /// Identifier of the job.
+        job: Name,
+        /// The attempt.
+        attempt: u32,
+        /// The worker.
+        worker: Name,
+        /// Processor cores that they may use together; 0 for no limit.
+        processors: u32,
+        /// Memory that they may use together, in megabytes; 0 for no limit.
+        memory_mb: u64,
+    },
+    /// A guarantee that could not be met can be met again.
+    Met {
+        /// Name of the client account.
+        account: Name,
+        /// Name of the guarantee.
+        guarantee: Name,
+    },
     /// A guarantee cannot be met by the workers that are left.
     Unmet {
         /// Name of the client account.
@@ -157,10 +238,24 @@
     },
 }
 
+/// A job whose account or guarantee is not in the configuration in force.
+#[row]
+struct Unconfigured {
+    since: Millis,
+    submission: Submission,
+    reason: String,
+}
+
 /// The planner's tables and the systems over them.
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     tables: Tables,
+    backlog: Backlog,
+    pending: Vec<Action>,
+    unconfigured: Vec<Unconfigured>,
+    unchecked: Vec<key::Job>,
+    begun: Option<Millis>,
+    drained: Option<Millis>,
 }
 
 impl Planner {
@@ -187,16 +282,21 @@
     /// ```
     pub fn apply(&mut self, now: Millis, event: Event) {
         match event {
-            Event::Configure(config) => self.configure(config),
-            Event::Announce(report) => self.announce(report),
-            Event::Lose(worker) => self.lose(&worker),
+            Event::Configure(config) => self.configure(now, config),
+            Event::Announce(report) => {
+                census::announce(&mut self.tables, now, &report, &mut self.pending);
+            }
+            Event::Lose(worker) => self.lose(now, &worker),
             Event::Submit(submission) => self.submit(now, submission),
-            Event::Started { job, attempt } => self.mark(&job, attempt, State::Running),
-            Event::Aborted { job, attempt, .. } | Event::Stopped { job, attempt } => {
-                self.requeue(&job, attempt);
+            Event::Started { job, attempt } => self.started(&job, attempt),
+            Event::Aborted { job, attempt, worker } => self.aborted(now, &job, attempt, worker),
+            Event::Stopped { job, attempt } => self.stopped(now, &job, attempt),
+            Event::Failed { job, attempt, worker } => self.failed(now, &job, attempt, &worker),
+            Event::Usage { job, attempt, worker, processors, memory_mb } => {
+                let used = Room { accelerators: 0, processors, memory_mb };
+                self.used(now, &job, attempt, &worker, used);
             }
-            Event::Failed { .. } => {}
-            Event::Ended { job } => self.end(&job),
+            Event::Ended { job } => self.ended(now, &job),
         }
     }
 
@@ -208,363 +308,396 @@
     /// assert!(Planner::default().tick(Millis(0)).is_empty());
     /// ```
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
-        let mut actions = Vec::new();
-        self.evacuate(&mut actions);
-        for job in self.queue() {
-            self.place(now, job, &mut actions);
+        let mut actions = std::mem::take(&mut self.pending);
+        self.begun.get_or_insert(now);
+        census::forget_lost(&mut self.tables, now);
+        self.give_up_unconfigured(now, &mut actions);
+        self.lapse(now);
+        let replanned = self.tables.replan;
+        witness::repair(&mut self.tables, &mut actions);
+        if replanned {
+            self.tell_stranded(&mut actions);
+        }
+        self.check(now, &mut actions);
+        evacuate::run(&mut self.tables, now, &mut actions);
+        self.backlog.wake(&self.tables, now);
+        self.backlog.serve_claims(&mut self.tables, now, &mut actions);
+        drain::advance(&mut self.tables, now, &mut actions);
+        self.backlog.serve_lines(&mut self.tables, now, &mut actions);
+        if self.drained.is_none_or(|drained| DRAIN_EVERY <= now.since(drained)) {
+            self.drained = Some(now);
+            let overdue = self.backlog.overdue(&self.tables, now);
+            drain::reserve(&mut self.tables, now, overdue);
         }
         actions
     }
 
-    fn configure(&mut self, config: Config) {
-        if config.revision < self.tables.revision {
-            return;
+    /// Says why a job waits, where it would go, or where it is; `None` for an unknown job.
+    ///
+    /// ```
+    /// use lavendergauge_lib::clock::Millis;
+    /// use lavendergauge_lib::name::Name;
+    /// use lavendergauge_lib::planner::Planner;
+    /// assert!(Planner::default().explain(Millis(0), &Name::from("a")).is_none());
+    /// ```
+    pub fn explain(&self, now: Millis, job: &Name) -> Option<Explanation> {
+        if let Some(row) = self.unconfigured.iter().find(|row| row.submission.job == *job) {
+            return Some(Explanation::Unconfigured { reason: row.reason.clone() });
         }
-        self.tables.revision = config.revision;
-        self.tables.policy = config.policy;
-        for zone in config.zones {
-            let centre = data_centre(&mut self.tables, &zone.name);
-            self.tables.data_centres[centre].open = zone.open;
+        let job = *self.tables.job_names.get(job)?;
+        Some(explain::job(&self.tables, &self.backlog, now, job))
+    }
+
+    fn configure(&mut self, now: Millis, config: Config) {
+        configure::take_in(&mut self.tables, now, config);
+        for row in std::mem::take(&mut self.unconfigured) {
+            self.submit_since(now, row.since, row.submission);
         }
-        for account in config.accounts {
-            let row = Account {
-                name: account.name.clone(),
-                quota: account.quota,
-                weight: account.weight,
-                held: 0,
-                guarantees: account
-                    .guarantees
-                    .into_iter()
-                    .map(|guarantee| (guarantee.name.clone(), guarantee))
-                    .collect::<BTreeMap<_, _>>(),
-            };
-            match self.tables.account_names.get(&account.name) {
-                Some(&known) => {
-                    let held = self.tables.accounts[known].held;
-                    self.tables.accounts[known] = Account { held, ..row };
-                }
-                None => {
-                    let fresh = self.tables.accounts.insert(row);
-                    self.tables.account_names.insert(account.name, fresh);
-                }
+        let removed: Vec<_> = self
+            .tables
+            .jobs
+            .values()
+            .filter(|row| row.state == State::Waiting)
+            .filter(|row| !self.tables.accounts[row.account].configured)
+            .map(|row| (row.name.clone(), self.tables.accounts[row.account].name.clone()))
+            .collect();
+        for (job, account) in removed {
+            self.end(now, &job);
+            let reason = format!("client account {account} was removed");
+            self.pending.push(Action::Refuse { job, reason });
+        }
+        let idle: Vec<_> = self
+            .tables
+            .accounts
+            .iter()
+            .filter(|(key, row)| {
+                !row.configured && !self.tables.jobs.values().any(|job| job.account == *key)
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for account in idle {
+            if let Some(row) = self.tables.accounts.remove(account) {
+                self.tables.account_names.remove(&row.name);
             }
         }
     }
 
-    fn announce(&mut self, report: Report) {
-        let known = self.tables.worker_names.get(&report.worker).copied();
-        if let Some(worker) = known {
-            let row = &mut self.tables.workers[worker];
-            row.leaving = report.leaving;
-            row.incarnation = report.incarnation;
-            return;
+    fn lose(&mut self, now: Millis, worker: &Name) {
+        if let Some(&worker) = self.tables.worker_names.get(worker) {
+            census::lose(&mut self.tables, now, worker, &mut self.pending);
         }
-        let centre = data_centre(&mut self.tables, &report.data_centre);
-        let rack = rack(&mut self.tables, centre, &report.rack);
-        let worker = self.tables.workers.insert(Worker {
-            name: report.worker.clone(),
-            incarnation: report.incarnation,
-            rack,
-            accelerators: report.accelerators,
-            free: mask(report.accelerators),
-            processors: report.processors,
-            memory_mb: report.memory_mb,
-            leaving: report.leaving,
-        });
-        self.tables.racks[rack].workers.push(worker);
-        self.tables.worker_names.insert(report.worker, worker);
     }
 
-    fn lose(&mut self, name: &Name) {
-        let Some(worker) = self.tables.worker_names.remove(name) else { return };
-        let rack = self.tables.workers[worker].rack;
-        self.tables.racks[rack].workers.retain(|&other| other != worker);
-        self.tables.workers.remove(worker);
+    fn submit(&mut self, now: Millis, submission: Submission) {
+        self.submit_since(now, now, submission);
     }
 
-    fn submit(&mut self, now: Millis, submission: Submission) {
+    fn submit_since(&mut self, now: Millis, since: Millis, submission: Submission) {
         if self.tables.job_names.contains_key(&submission.job) {
             return;
         }
-        let Some(&account) = self.tables.account_names.get(&submission.account) else { return };
-        let places = known_places(&self.tables, &submission.seats);
-        let state = if places.is_empty() { State::Waiting } else { State::Running };
-        let job = self.tables.jobs.insert(Job {
-            name: submission.job.clone(),
-            account,
-            shape: submission.shape,
-            class: submission.class,
-            guarantee: submission.guarantee,
-            data_centres: submission.data_centres,
-            checkpoints: submission.checkpoints,
-            idempotent: submission.idempotent,
-            declared_s: submission.declared_s,
-            attempt: submission.attempt,
-            state,
-            places: SmallVec::new(),
-            submitted: now,
-            started: now,
-        });
-        self.tables.job_names.insert(submission.job, job);
-        take(&mut self.tables, job, places);
-    }
-
-    fn mark(&mut self, name: &Name, attempt: u32, state: State) {
-        let Some(&job) = self.tables.job_names.get(name) else { return };
-        let row = &mut self.tables.jobs[job];
-        if row.attempt == attempt {
-            row.state = state;
+        let account = match self.account(&submission) {
+            Ok(account) => account,
+            Err(reason) => {
+                self.unconfigured.push(Unconfigured { since, submission, reason });
+                return;
+            }
+        };
+        if let Some(reason) = self.mismatch(account, &submission) {
+            self.pending.push(Action::Refuse { job: submission.job, reason });
+            return;
+        }
+        self.tables.demand.record(&submission.shape);
+        let seats = submission.seats.clone();
+        let name = submission.job.clone();
+        let job = self.tables.jobs.insert(waiting(since, account, submission));
+        self.tables.job_names.insert(name, job);
+        if seats.is_empty() {
+            self.unchecked.push(job);
+            self.backlog.push(&self.tables, job);
+        } else {
+            self.resume(now, job, &seats);
         }
     }
 
-    fn requeue(&mut self, name: &Name, attempt: u32) {
-        let Some(&job) = self.tables.job_names.get(name) else { return };
-        if self.tables.jobs[job].attempt != attempt {
-            return;
+    /// Returns the account of a submission, if that and its guarantee are configured.
+    fn account(&self, submission: &Submission) -> Result<key::Account, String> {
+        let name = &submission.account;
+        let known = self.tables.account_names.get(name).copied();
+        let account = known
+            .filter(|&account| self.tables.accounts[account].configured)
+            .ok_or_else(|| format!("there is no client account {name}"))?;
+        let row = &self.tables.accounts[account];
+        match &submission.guarantee {
+            Some(guarantee) if !row.guarantees.contains_key(guarantee) => {
+                Err(format!("client account {name} has no guarantee {guarantee}"))
+            }
+            _ => Ok(account),
         }
-        give_back(&mut self.tables, job);
-        self.tables.jobs[job].state = State::Waiting;
     }
 
-    fn end(&mut self, name: &Name) {
-        let Some(job) = self.tables.job_names.remove(name) else { return };
-        give_back(&mut self.tables, job);
-        self.tables.jobs.remove(job);
+    fn mismatch(&self, account: key::Account, submission: &Submission) -> Option<String> {
+        let quota = self.tables.accounts[account].quota;
+        let total = submission.shape.total();
+        if quota != 0 && quota < total {
+            return Some(format!("the quota is {quota} accelerators, the job needs {total}"));
+        }
+        let name = submission.guarantee.as_ref()?;
+        let guarantee = self.tables.accounts[account].guarantees.get(name)?;
+        claim::mismatch(&self.tables.guarantees[*guarantee].shape, &submission.shape)
     }
 
-    /// Tells every job in a closed data centre, or on a leaving worker, to stop.
-    fn evacuate(&mut self, actions: &mut Vec<Action>) {
-        let notice = self.tables.policy.notice;
-        for job in self.tables.jobs.keys().collect::<Vec<_>>() {
-            let row = &self.tables.jobs[job];
-            if row.state != State::Running {
+    /// Takes the places of a job that ran under another planner.
+    fn resume(&mut self, now: Millis, job: key::Job, seats: &[Seat]) {
+        let mut places = Places::new();
+        for seat in seats {
+            let Some(&worker) = self.tables.worker_names.get(&seat.worker) else { continue };
+            let row = &self.tables.workers[worker];
+            let wanted = Set::of(&seat.accelerators);
+            let there = Set::first(row.capacity.accelerators);
+            let taken = places.iter().any(|place: &Place| {
+                place.worker == worker && Set::of(&place.accelerators).meets(wanted)
+            });
+            if taken || row.taken.meets(wanted) || wanted.minus(there) != Set::default() {
                 continue;
             }
-            let Some(cause) = departure(&self.tables, job) else { continue };
-            let (name, attempt) = (row.name.clone(), row.attempt);
-            self.tables.jobs[job].state = State::Stopping;
-            actions.push(Action::Stop { job: name, attempt, notice, cause });
+            let (incarnation, accelerators) = (row.incarnation, seat.accelerators.clone());
+            places.push(Place { worker, incarnation, accelerators });
+        }
+        let whole = places.len() == seats.len();
+        for place in &places {
+            let row = &mut self.tables.workers[place.worker];
+            row.foreign = row.foreign.minus(Set::of(&place.accelerators));
+            row.foreign_room = row.foreign_room.minus(self.tables.jobs[job].shape.member());
+        }
+        ledger::take(&mut self.tables, now, job, places);
+        self.tables.replan = true;
+        let row = &mut self.tables.jobs[job];
+        row.state = if whole { State::Running } else { State::Stopping };
+        row.stopped = now;
+        if !whole {
+            self.tables.stopping.push(job);
         }
     }
 
-    /// Returns the waiting jobs, most pressing first.
-    fn queue(&self) -> Vec<key::Job> {
-        let mut waiting: Vec<_> =
-            self.tables.jobs.iter().filter(|(_, row)| row.state == State::Waiting).collect();
-        waiting.sort_by_key(|(_, row)| (row.class, row.guarantee.is_none(), row.submitted));
-        waiting.into_iter().map(|(job, _)| job).collect()
+    fn find(&self, name: &Name, attempt: u32) -> Option<key::Job> {
+        let job = *self.tables.job_names.get(name)?;
+        let row = &self.tables.jobs[job];
+        (row.attempt == attempt && row.placed()).then_some(job)
     }
 
-    fn place(&mut self, now: Millis, job: key::Job, actions: &mut Vec<Action>) {
-        let row = &self.tables.jobs[job];
-        let account = &self.tables.accounts[row.account];
-        if account.quota != 0 && account.quota < account.held + row.shape.total() {
-            return;
-        }
-        let name = row.name.clone();
-        let groups = groups(&self.tables, job);
-        let alternatives = groups.len();
-        if let Some(places) = groups.iter().find_map(|group| fit(&self.tables, job, group)) {
-            let row = &mut self.tables.jobs[job];
-            row.attempt += 1;
-            row.state = State::Starting;
-            row.started = now;
-            let attempt = row.attempt;
-            take(&mut self.tables, job, places);
-            let seats = seats(&self.tables, job);
-            actions.push(Action::Start { job: name, attempt, seats, alternatives });
-            return;
-        }
-        if row.guarantee.is_some() {
-            self.reclaim(job, &groups, actions);
+    fn started(&mut self, name: &Name, attempt: u32) {
+        let Some(job) = self.find(name, attempt) else { return };
+        let row = &mut self.tables.jobs[job];
+        row.aborted = 0;
+        row.avoided.clear();
+        if row.state == State::Starting {
+            row.state = State::Running;
         }
     }
 
-    /// Stops borrowers in the first group whose free and borrowed accelerators suffice.
-    fn reclaim(&mut self, job: key::Job, groups: &[Vec<key::Worker>], actions: &mut Vec<Action>) {
-        let row = &self.tables.jobs[job];
-        let (claimant, needed) = (row.name.clone(), row.shape.total());
-        let notice = self.tables.policy.notice;
-        for group in groups {
-            let free: u32 =
-                group.iter().map(|&worker| self.tables.workers[worker].free.count_ones()).sum();
-            let mut freed = free;
-            let mut victims = Vec::new();
-            for (borrower, other) in &self.tables.jobs {
-                let within: u32 = other
-                    .places
-                    .iter()
-                    .filter(|place| group.contains(&place.worker))
-                    .map(|place| place.accelerators.len() as u32)
-                    .sum();
-                if needed <= freed || within == 0 || other.guarantee.is_some() {
-                    continue;
-                }
-                freed += within;
-                if other.state == State::Running {
-                    victims.push(borrower);
-                }
-            }
-            if freed < needed {
-                continue;
-            }
-            for victim in victims {
-                let row = &mut self.tables.jobs[victim];
-                row.state = State::Stopping;
-                actions.push(Action::Stop {
-                    job: row.name.clone(),
-                    attempt: row.attempt,
-                    notice,
-                    cause: Cause::Reclaim(claimant.clone()),
-                });
-            }
-            return;
+    fn aborted(&mut self, now: Millis, name: &Name, attempt: u32, worker: Option<Name>) {
+        let Some(job) = self.find(name, attempt) else { return };
+        let at_fault = worker.and_then(|worker| self.tables.worker_names.get(&worker).copied());
+        let row = &mut self.tables.jobs[job];
+        row.aborted += 1;
+        if AVOIDED <= row.avoided.len() {
+            row.avoided.remove(0);
         }
+        row.avoided.extend(at_fault);
+        let tries = row.aborted;
+        self.wait_again(now, job);
+        self.retry(now, job, tries);
     }
-}
 
-/// Returns the bit set of the first `count` accelerators.
-fn mask(count: u8) -> u64 {
-    1_u64.checked_shl(u32::from(count)).map_or(u64::MAX, |bit| bit - 1)
-}
+    /// Lets a job wait for a pause that doubles with each of its tries.
+    fn retry(&mut self, now: Millis, job: key::Job, tries: u32) {
+        let claims = self.tables.jobs[job].guarantee.is_some();
+        let pause = RETRY_FIRST * 2_u32.saturating_pow(tries.saturating_sub(1).min(10));
+        let longest = if claims { RETRY_CLAIM } else { RETRY_LAST };
+        self.backlog.delay(now + pause.min(longest), job);
+    }
 
-fn data_centre(tables: &mut Tables, name: &Name) -> key::DataCentre {
-    if let Some(&known) = tables.data_centre_names.get(name) {
-        return known;
+    fn stopped(&mut self, now: Millis, name: &Name, attempt: u32) {
+        let Some(job) = self.find(name, attempt) else { return };
+        self.tables.jobs[job].waiting = now;
+        self.wait_again(now, job);
+        self.backlog.push(&self.tables, job);
     }
-    let row = DataCentre { name: name.clone(), open: false, racks: BTreeMap::new() };
-    let fresh = tables.data_centres.insert(row);
-    tables.data_centre_names.insert(name.clone(), fresh);
-    fresh
-}
 
-fn rack(tables: &mut Tables, centre: key::DataCentre, name: &Name) -> key::Rack {
-    if let Some(&known) = tables.data_centres[centre].racks.get(name) {
-        return known;
+    fn failed(&mut self, now: Millis, name: &Name, attempt: u32, worker: &Name) {
+        let Some(job) = self.find(name, attempt) else { return };
+        if let Some(&worker) = self.tables.worker_names.get(worker) {
+            probation::failed(&mut self.tables, now, worker, job);
+            let row = &mut self.tables.jobs[job];
+            if !row.failed_on.contains(&worker) {
+                row.failed_on.push(worker);
+            }
+        }
+        self.tables.jobs[job].waiting = now;
+        self.tables.jobs[job].failures += 1;
+        self.wait_again(now, job);
+        let row = &self.tables.jobs[job];
+        let workers = self.tables.workers.values().filter(|row| row.lost.is_none()).count();
+        let tried = row.failed_on.len();
+        let everywhere = probation::JOB_FAULT.min(workers) <= tried;
+        let often = probation::JOB_FAULT <= row.failures as usize;
+        if everywhere && often || probation::JOB_FAILURES <= row.failures {
+            probation::pardon(&mut self.tables, job);
+            let reason = format!("failed on {tried} different workers, the last was {worker}");
+            self.end(now, name);
+            self.pending.push(Action::Fail { job: name.clone(), reason });
+        } else if row.evictable() {
+            let tries = row.failures;
+            self.retry(now, job, tries);
+        } else {
+            let reason = format!("failed on {worker} and may not run again");
+            self.end(now, name);
+            self.pending.push(Action::Fail { job: name.clone(), reason });
+        }
     }
-    let fresh = tables.racks.insert(Rack { data_centre: centre, workers: Vec::new() });
-    tables.data_centres[centre].racks.insert(name.clone(), fresh);
-    fresh
-}
 
-/// Finds the places behind seats, or none when a worker is not known.
-fn known_places(tables: &Tables, seats: &[Seat]) -> SmallVec<[Place; 4]> {
-    let places: Option<SmallVec<[Place; 4]>> = seats
-        .iter()
-        .map(|seat| {
-            let worker = *tables.worker_names.get(&seat.worker)?;
-            Some(Place { worker, accelerators: seat.accelerators.clone() })
-        })
-        .collect();
-    places.unwrap_or_default()
-}
+    fn used(&mut self, now: Millis, name: &Name, attempt: u32, worker: &Name, used: Room) {
+        let Some(job) = self.find(name, attempt) else { return };
+        let Some(&worker) = self.tables.worker_names.get(worker) else { return };
+        usage::report(&mut self.tables, now, job, worker, used, &mut self.pending);
+    }
 
-/// Returns why a job has to leave its place, if it has to.
-fn departure(tables: &Tables, job: key::Job) -> Option<Cause> {
-    tables.jobs[job].places.iter().find_map(|place| {
-        let worker = tables.workers.get(place.worker)?;
-        let centre = &tables.data_centres[tables.racks[worker.rack].data_centre];
-        if !centre.open {
-            return Some(Cause::DataCentreOut(centre.name.clone()));
+    fn ended(&mut self, now: Millis, name: &Name) {
+        self.unconfigured.retain(|row| row.submission.job != *name);
+        let Some(&job) = self.tables.job_names.get(name) else { return };
+        let row = &self.tables.jobs[job];
+        let succeeded = row.state == State::Running;
+        if succeeded {
+            estimate::record(&mut self.tables, now, job);
         }
-        worker.leaving.then(|| Cause::WorkerLeaving(worker.name.clone()))
-    })
-}
+        probation::left(&mut self.tables, job, succeeded);
+        self.end(now, name);
+    }
 
-/// Returns the groups of workers that satisfy the job's adjacency, fullest first.
-fn groups(tables: &Tables, job: key::Job) -> Vec<Vec<key::Worker>> {
-    let row = &tables.jobs[job];
-    let mut groups: BTreeMap<_, Vec<key::Worker>> = BTreeMap::new();
-    for (worker, state) in &tables.workers {
-        let rack = state.rack;
-        let centre = tables.racks[rack].data_centre;
-        let place = &tables.data_centres[centre];
-        let allowed = row.data_centres.is_empty() || row.data_centres.contains(&place.name);
-        if !place.open || !allowed || state.leaving {
-            continue;
+    /// Gives back what a job holds and lets it wait.
+    fn wait_again(&mut self, now: Millis, job: key::Job) {
+        probation::left(&mut self.tables, job, false);
+        ledger::give_back(&mut self.tables, now, job);
+        let row = &mut self.tables.jobs[job];
+        row.ran = row.run_time(now);
+        row.state = State::Waiting;
+        row.backfills = None;
+        if usage::grow(&mut self.tables, job) {
+            self.unchecked.push(job);
         }
-        let group = match row.shape.adjacency {
-            Adjacency::Worker => (centre, Some(rack), Some(worker)),
-            Adjacency::Rack => (centre, Some(rack), None),
-            Adjacency::DataCentre => (centre, None, None),
-        };
-        groups.entry(group).or_default().push(worker);
     }
-    let mut groups: Vec<_> = groups.into_values().collect();
-    groups.sort_by_key(|group| -> u32 {
-        group.iter().map(|&worker| tables.workers[worker].free.count_ones()).sum()
-    });
-    groups
-}
 
-/// Seats all members of a job within a group, fullest worker first.
-fn fit(tables: &Tables, job: key::Job, group: &[key::Worker]) -> Option<SmallVec<[Place; 4]>> {
-    let shape = tables.jobs[job].shape;
-    let mut workers = group.to_vec();
-    workers.sort_by_key(|&worker| tables.workers[worker].free.count_ones());
-    let mut places = SmallVec::new();
-    for worker in workers {
-        let row = &tables.workers[worker];
-        let mut free = row.free;
-        let (mut processors, mut memory_mb) = (row.processors, row.memory_mb);
-        while places.len() < shape.members as usize
-            && shape.accelerators <= free.count_ones()
-            && shape.processors <= processors
-            && shape.memory_mb <= memory_mb
-        {
-            let accelerators = lowest(free, shape.accelerators);
-            free &= !bits(&accelerators);
-            processors -= shape.processors;
-            memory_mb -= shape.memory_mb;
-            places.push(Place { worker, accelerators });
-        }
+    fn end(&mut self, now: Millis, name: &Name) {
+        let Some(job) = self.tables.job_names.remove(name) else { return };
+        ledger::drop_target(&mut self.tables, job);
+        ledger::give_back(&mut self.tables, now, job);
+        self.tables.jobs.remove(job);
     }
-    (places.len() == shape.members as usize).then_some(places)
-}
 
-/// Returns the lowest `count` set bits' indices.
-fn lowest(set: u64, count: u32) -> Accelerators {
-    (0..64).filter(|bit| set & (1 << bit) != 0).take(count as usize).collect()
-}
+    /// Gives back what attempts hold that were told to stop and are not heard of, after their lease.
+    ///
+    /// Such a job waits for the word on its attempt before it can start again.
+    fn lapse(&mut self, now: Millis) {
+        let policy = &self.tables.policy;
+        let limit = policy.notice + policy.lease + LEASE_MARGIN;
+        let mut late = Vec::new();
+        let jobs = &self.tables.jobs;
+        self.tables.stopping.retain(|&job| {
+            let Some(row) = jobs.get(job).filter(|row| row.state == State::Stopping) else {
+                return false;
+            };
+            let over = limit <= now.since(row.stopped);
+            late.extend(over.then_some(job));
+            !over
+        });
+        for job in late {
+            ledger::give_back(&mut self.tables, now, job);
+        }
+    }
 
-/// Returns the bit set of accelerators.
-fn bits(accelerators: &[u8]) -> u64 {
-    accelerators.iter().fold(0, |set, &bit| set | (1 << bit))
-}
+    fn give_up_unconfigured(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        self.unconfigured.retain(|row| {
+            let waits = now.since(row.since) < CONFIG_LAG;
+            if !waits {
+                let (job, reason) = (row.submission.job.clone(), row.reason.clone());
+                actions.push(Action::Refuse { job, reason });
+            }
+            waits
+        });
+    }
 
-/// Takes places for a job out of what is free.
-fn take(tables: &mut Tables, job: key::Job, places: SmallVec<[Place; 4]>) {
-    let row = &mut tables.jobs[job];
-    for place in &places {
-        let worker = &mut tables.workers[place.worker];
-        worker.free &= !bits(&place.accelerators);
-        worker.processors = worker.processors.saturating_sub(row.shape.processors);
-        worker.memory_mb = worker.memory_mb.saturating_sub(row.shape.memory_mb);
-        tables.accounts[row.account].held += place.accelerators.len() as u32;
+    /// Refuses new jobs that no known worker could ever run.
+    fn check(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let settled = self.begun.is_some_and(|begun| SETTLE <= now.since(begun));
+        if self.unchecked.is_empty() || !settled {
+            return;
+        }
+        let ground = Ground::known(&self.tables);
+        for job in std::mem::take(&mut self.unchecked) {
+            let Some(row) = self.tables.jobs.get(job) else { continue };
+            let Some(reason) = ground.impossible(row.shape, &row.data_centres) else { continue };
+            let name = row.name.clone();
+            self.end(now, &name);
+            actions.push(Action::Refuse { job: name, reason: reason.to_string() });
+        }
     }
-    row.places = places;
-}
 
-/// Gives a job's places back.
-fn give_back(tables: &mut Tables, job: key::Job) {
-    let row = &mut tables.jobs[job];
-    for place in std::mem::take(&mut row.places) {
-        tables.accounts[row.account].held -= place.accelerators.len() as u32;
-        let Some(worker) = tables.workers.get_mut(place.worker) else { continue };
-        worker.free |= bits(&place.accelerators);
-        worker.processors += row.shape.processors;
-        worker.memory_mb += row.shape.memory_mb;
+    /// Tells of waiting jobs that none of the workers that are left could run.
+    fn tell_stranded(&mut self, actions: &mut Vec<Action>) {
+        let ground = Ground::present(&self.tables);
+        let mut known: Vec<(Shape, &[Name], Option<String>)> = Vec::new();
+        let mut told = Vec::new();
+        for (shape, centres, jobs) in self.backlog.wishes() {
+            let seen = known.iter().find(|&&(other, names, _)| other == *shape && names == centres);
+            let reason = match seen {
+                Some((_, _, reason)) => reason.clone(),
+                None => {
+                    let reason = ground.impossible(*shape, centres).map(|why| why.to_string());
+                    known.push((*shape, centres, reason.clone()));
+                    reason
+                }
+            };
+            told.extend(jobs.iter().map(|&job| (job, reason.clone())));
+        }
+        for (job, reason) in told {
+            let Some(row) = self.tables.jobs.get_mut(job) else { continue };
+            if let Some(reason) = reason.clone().filter(|_| !row.stranded && !row.placed()) {
+                actions.push(Action::Stranded { job: row.name.clone(), reason });
+            }
+            row.stranded = reason.is_some();
+        }
     }
 }
 
-/// Returns the border form of a job's places.
-fn seats(tables: &Tables, job: key::Job) -> Seats {
-    tables.jobs[job]
-        .places
-        .iter()
-        .map(|place| Seat {
-            worker: tables.workers[place.worker].name.clone(),
-            accelerators: place.accelerators.clone(),
-        })
-        .collect()
+fn waiting(now: Millis, account: key::Account, submission: Submission) -> Job {
+    Job {
+        name: submission.job,
+        account,
+        shape: submission.shape,
+        class: submission.class,
+        guarantee: submission.guarantee,
+        claim: None,
+        data_centres: submission.data_centres,
+        checkpoints: submission.checkpoints,
+        idempotent: submission.idempotent,
+        declared_s: submission.declared_s,
+        attempt: submission.attempt,
+        state: State::Waiting,
+        places: SmallVec::new(),
+        target: None,
+        backfills: None,
+        submitted: now,
+        waiting: now,
+        started: now,
+        ran: Duration::ZERO,
+        stopped: now,
+        aborted: 0,
+        failures: 0,
+        failed_on: SmallVec::new(),
+        avoided: SmallVec::new(),
+        stranded: false,
+        over: None,
+        grown: None,
+    }
 }
--- a/lib/src/shape.rs
+++ b/lib/src/shape.rs
@@ -5,6 +5,7 @@
 use smallvec::SmallVec;
 
 use crate::name::Name;
+use crate::room::Room;
 
 /// How close the accelerators of one shape must be.
 #[token]
@@ -46,6 +47,22 @@
     pub fn total(&self) -> u32 {
         self.members.saturating_mul(self.accelerators)
     }
+
+    /// Returns the capacity that one member takes.
+    ///
+    /// ```
+    /// use lavendergauge_lib::shape::Adjacency;
+    /// use lavendergauge_lib::shape::Shape;
+    /// let shape = Shape { members: 4, accelerators: 2, processors: 8, memory_mb: 0, adjacency: Adjacency::Rack };
+    /// assert_eq!(shape.member().processors, 8);
+    /// ```
+    pub fn member(&self) -> Room {
+        Room {
+            accelerators: self.accelerators,
+            processors: self.processors,
+            memory_mb: self.memory_mb,
+        }
+    }
 }
 
 /// One member's place: a worker and accelerators on it.
--- /dev/null
+++ b/lib/tests/exact_packing.rs
@@ -0,0 +1,140 @@
+//! Acceptance of guarantees against an exhaustive search on small fleets.
+
+mod support;
+
+use lavendergauge_lib::fleet::Config;
+use lavendergauge_lib::fleet::Policy;
+use lavendergauge_lib::fleet::Report;
+use lavendergauge_lib::fleet::Zone;
+use lavendergauge_lib::guarantee;
+use lavendergauge_lib::name::Name;
+use lavendergauge_lib::room::Room;
+use lavendergauge_lib::shape::Adjacency;
+use lavendergauge_lib::shape::Shape;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_assert_eq;
+use proptest::test_runner::Config as Runs;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestRunner;
+use support::account;
+use support::report;
+
+/// A worker of the exhaustive search: data centre, rack, room.
+type Site = (usize, usize, Room);
+
+/// Tells whether all shapes from `index` on can be placed, by trying every way.
+fn fits(sites: &mut Vec<Site>, shapes: &[(Shape, Option<usize>)], index: usize) -> bool {
+    let Some(&(shape, _)) = shapes.get(index) else { return true };
+    members(sites, shapes, index, shape.members, 0, None)
+}
+
+fn members(
+    sites: &mut Vec<Site>,
+    shapes: &[(Shape, Option<usize>)],
+    index: usize,
+    left: u32,
+    from: usize,
+    unit: Option<Site>,
+) -> bool {
+    if left == 0 {
+        return fits(sites, shapes, index + 1);
+    }
+    let (shape, allowed) = shapes[index];
+    for site in from..sites.len() {
+        let (centre, rack, room) = sites[site];
+        let near = unit.is_none_or(|first| match shape.adjacency {
+            Adjacency::Worker => site == from,
+            Adjacency::Rack => (first.0, first.1) == (centre, rack),
+            Adjacency::DataCentre => first.0 == centre,
+        });
+        let may = allowed.is_none_or(|allowed| allowed == centre);
+        if !near || !may || !shape.member().fits(room) {
+            continue;
+        }
+        sites[site].2 = room.minus(shape.member());
+        let done = members(sites, shapes, index, left - 1, site, unit.or(Some(sites[site])));
+        sites[site].2 = room;
+        if done {
+            return true;
+        }
+    }
+    false
+}
+
+fn shapes() -> impl Strategy<Value = Vec<(Shape, Option<usize>)>> {
+    let shape = (1_u32..4, 1_u32..5, 0_u32..5, 0_usize..3, proptest::option::of(0_usize..2));
+    let shape = shape.prop_map(|(members, accelerators, processors, near, allowed)| {
+        let adjacency = [Adjacency::Worker, Adjacency::Rack, Adjacency::DataCentre][near];
+        (Shape { members, accelerators, processors, memory_mb: 0, adjacency }, allowed)
+    });
+    proptest::collection::vec(shape, 1..6)
+}
+
+fn fleet() -> impl Strategy<Value = Vec<Report>> {
+    let worker = (0_usize..2, 0_usize..2, 2_u8..9, 2_u32..12);
+    proptest::collection::vec(worker, 1..6).prop_map(|workers| {
+        let rows = workers.into_iter().enumerate();
+        rows.map(|(index, (centre, rack, accelerators, processors))| {
+            let (centre, rack) = (format!("z{centre}"), format!("r{rack}"));
+            let row = report(&centre, &rack, &format!("w{index}"), accelerators);
+            Report { processors, ..row }
+        })
+        .collect()
+    })
+}
+
+fn config(shapes: &[(Shape, Option<usize>)]) -> Config {
+    let zone = |name: &str| Zone { name: Name::from(name), open: true };
+    let accounts = shapes.iter().enumerate().map(|(index, &(shape, allowed))| {
+        let mut guarantee = support::guarantee("g", shape);
+        guarantee.data_centres.extend(allowed.map(|centre| Name::from(format!("z{centre}"))));
+        account(&format!("a{index}"), 0, vec![guarantee])
+    });
+    let zones = vec![zone("z0"), zone("z1")];
+    Config { revision: 1, accounts: accounts.collect(), zones, policy: Policy::default() }
+}
+
+fn sites(fleet: &[Report]) -> Vec<Site> {
+    let number = |name: &Name| usize::from(name.as_str().ends_with('1'));
+    let rows = fleet.iter();
+    rows.map(|row| {
+        let room = Room {
+            accelerators: u32::from(row.accelerators),
+            processors: row.processors,
+            memory_mb: row.memory_mb,
+        };
+        (number(&row.data_centre), number(&row.rack), room)
+    })
+    .collect()
+}
+
+#[test]
+fn every_set() {
+    let seeds: u64 =
+        std::env::var("LAVENDERGAUGE_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(1);
+    let mut feasible = 0;
+    for seed in 0..seeds {
+        let runs = Runs {
+            cases: 1500,
+            rng_seed: RngSeed::Fixed(4 + seed),
+            failure_persistence: None,
+            ..Runs::default()
+        };
+        let counted = std::cell::Cell::new(0);
+        let cases = (shapes(), fleet(), any::<bool>());
+        let outcome = TestRunner::new(runs).run(&cases, |(mut shapes, fleet, reversed)| {
+            if reversed {
+                shapes.reverse();
+            }
+            let exact = fits(&mut sites(&fleet), &shapes, 0);
+            let unfit = guarantee::unfit(&config(&shapes), &fleet);
+            counted.set(counted.get() + u32::from(exact));
+            prop_assert_eq!(exact, unfit.is_empty(), "{:?}", unfit);
+            Ok(())
+        });
+        outcome.unwrap_or_else(|failure| panic!("seed {seed}: {failure}"));
+        feasible += counted.get();
+    }
+    assert!(100 < feasible, "too few feasible sets: {feasible}");
+}
