--- /dev/null
+++ b/lib/benches/policy/arrivals.rs
@@ -0,0 +1,272 @@
+//! Scripted arrivals of both users' kinds, with faults, drawn from a seed.
+
+use lavendergauge_lib::fleet::Account;
+use lavendergauge_lib::fleet::Config;
+use lavendergauge_lib::fleet::Guarantee;
+use lavendergauge_lib::fleet::Policy;
+use lavendergauge_lib::fleet::Report;
+use lavendergauge_lib::fleet::Zone;
+use lavendergauge_lib::name::Name;
+use lavendergauge_lib::planner::Submission;
+use lavendergauge_lib::shape::Adjacency;
+use lavendergauge_lib::shape::Seats;
+use lavendergauge_lib::shape::Shape;
+use lavendergauge_lib::table::Class;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use smallvec::SmallVec;
+
+/// Data centres, racks in each, workers in each rack, accelerators of each worker.
+const FLEET: (usize, usize, usize, u8) = (4, 2, 3, 8);
+/// Part of the fleet's accelerators that the arrivals ask for.
+const LOAD: f64 = 0.85;
+/// Time over which jobs arrive, in seconds.
+pub const HORIZON_S: u64 = 24 * 3600;
+/// When a data centre is taken out and brought back, in seconds.
+pub const OUTAGE_S: (u64, u64) = (12 * 3600, 13 * 3600);
+/// Times at which a worker is lost, in hours; it is back after ten minutes.
+const LOSSES_H: [u64; 6] = [3, 6, 9, 15, 18, 21];
+/// Time for which a lost worker is away, in seconds.
+pub const AWAY_S: u64 = 600;
+
+/// One kind of job.
+struct Kind {
+    account: &'static str,
+    class: Class,
+    shapes: &'static [(u32, u32, Adjacency)],
+    /// Median run time, in seconds.
+    median_s: f64,
+    /// Spread of the run time's logarithm.
+    spread: f64,
+    /// Share of the load.
+    share: f64,
+    checkpoints: bool,
+    idempotent: bool,
+}
+
+const WORKER: Adjacency = Adjacency::Worker;
+const RACK: Adjacency = Adjacency::Rack;
+
+const KINDS: [Kind; 6] = [
+    // Corner sweeps.
+    Kind {
+        account: "vrbovec-design",
+        class: Class::Ordinary,
+        shapes: &[(1, 8, WORKER), (1, 8, WORKER), (1, 4, WORKER), (2, 8, RACK)],
+        median_s: 3600.0,
+        spread: 0.6,
+        share: 0.40,
+        checkpoints: true,
+        idempotent: false,
+    },
+    // Noise checks.
+    Kind {
+        account: "vrbovec-review",
+        class: Class::Ordinary,
+        shapes: &[(1, 1, WORKER), (1, 2, WORKER)],
+        median_s: 300.0,
+        spread: 0.8,
+        share: 0.10,
+        checkpoints: false,
+        idempotent: true,
+    },
+    // Monte Carlo batches.
+    Kind {
+        account: "vrbovec-yield",
+        class: Class::Patient,
+        shapes: &[(1, 1, WORKER), (1, 2, WORKER), (1, 4, WORKER)],
+        median_s: 2400.0,
+        spread: 0.7,
+        share: 0.20,
+        checkpoints: true,
+        idempotent: true,
+    },
+    // Job sheets.
+    Kind {
+        account: "kabelwerk-vans",
+        class: Class::Urgent,
+        shapes: &[(1, 1, WORKER)],
+        median_s: 40.0,
+        spread: 0.5,
+        share: 0.03,
+        checkpoints: false,
+        idempotent: false,
+    },
+    // Scans.
+    Kind {
+        account: "kabelwerk-office",
+        class: Class::Ordinary,
+        shapes: &[(1, 1, WORKER), (1, 2, WORKER)],
+        median_s: 180.0,
+        spread: 0.6,
+        share: 0.07,
+        checkpoints: false,
+        idempotent: true,
+    },
+    // Archives.
+    Kind {
+        account: "kabelwerk-archive",
+        class: Class::Patient,
+        shapes: &[(1, 2, WORKER), (1, 4, WORKER), (4, 1, RACK)],
+        median_s: 3000.0,
+        spread: 0.7,
+        share: 0.20,
+        checkpoints: true,
+        idempotent: true,
+    },
+];
+
+/// One arrival.
+pub struct Arrival {
+    /// When, in seconds.
+    pub at_s: u64,
+    /// What is submitted.
+    pub submission: Submission,
+    /// How long it runs, in seconds.
+    pub run_s: f64,
+}
+
+/// A day's arrivals and faults.
+pub struct Script {
+    /// Jobs, in order of arrival.
+    pub arrivals: Vec<Arrival>,
+    /// Workers that are lost, with the time in seconds.
+    pub losses: Vec<(u64, usize)>,
+    /// The fleet.
+    pub fleet: Vec<Report>,
+    /// The configuration, with every data centre open.
+    pub config: Config,
+}
+
+impl Script {
+    /// Draws a day.
+    pub fn new(seed: u64) -> Script {
+        let mut random = StdRng::seed_from_u64(seed);
+        let fleet = fleet();
+        let accelerators: u32 = fleet.iter().map(|row| u32::from(row.accelerators)).sum();
+        let work = f64::from(accelerators) * HORIZON_S as f64 * LOAD;
+        let mut arrivals = Vec::new();
+        for (index, kind) in KINDS.iter().enumerate() {
+            kind_arrivals(&mut random, index, kind, work * kind.share, &mut arrivals);
+        }
+        claims(&mut random, &mut arrivals);
+        arrivals.sort_by_key(|arrival| arrival.at_s);
+        let losses = LOSSES_H.map(|at| (at * 3600, random.random_range(0..fleet.len()))).to_vec();
+        Script { arrivals, losses, fleet, config: config() }
+    }
+}
+
+fn kind_arrivals(
+    random: &mut StdRng,
+    index: usize,
+    kind: &Kind,
+    mut work: f64,
+    arrivals: &mut Vec<Arrival>,
+) {
+    while 0.0 < work {
+        let (members, accelerators, adjacency) =
+            kind.shapes[random.random_range(0..kind.shapes.len())];
+        let run_s = (kind.median_s * (kind.spread * normal(random)).exp()).max(5.0);
+        let shape = Shape { members, accelerators, processors: 0, memory_mb: 0, adjacency };
+        work -= run_s * f64::from(shape.total());
+        let wrong = 10_f64.powf(random.random_range(-1.0..1.0));
+        let submission = Submission {
+            job: Name::from(format!("k{index}-{}", arrivals.len())),
+            account: Name::from(kind.account),
+            shape,
+            class: kind.class,
+            guarantee: None,
+            data_centres: SmallVec::new(),
+            checkpoints: kind.checkpoints,
+            idempotent: kind.idempotent,
+            declared_s: (run_s * wrong).max(1.0) as u64,
+            attempt: 0,
+            seats: Seats::new(),
+        };
+        let at_s = random.random_range(0..HORIZON_S);
+        arrivals.push(Arrival { at_s, submission, run_s });
+    }
+}
+
+/// Claims of both guarantees, about one an hour each, and never two of one at a time.
+fn claims(random: &mut StdRng, arrivals: &mut Vec<Arrival>) {
+    for hour in 1..23 {
+        for (account, shape) in guarantees() {
+            let run_s = random.random_range(300.0..1200.0);
+            let submission = Submission {
+                job: Name::from(format!("claim-{account}-{hour}")),
+                account: Name::from(account),
+                shape,
+                class: Class::Urgent,
+                guarantee: Some(Name::from("promised")),
+                data_centres: SmallVec::new(),
+                checkpoints: true,
+                idempotent: false,
+                declared_s: run_s as u64,
+                attempt: 0,
+                seats: Seats::new(),
+            };
+            let at_s = hour * 3600 + random.random_range(0..1800);
+            arrivals.push(Arrival { at_s, submission, run_s });
+        }
+    }
+}
+
+fn guarantees() -> [(&'static str, Shape); 2] {
+    let shape = |members, accelerators, adjacency| Shape {
+        members,
+        accelerators,
+        processors: 0,
+        memory_mb: 0,
+        adjacency,
+    };
+    [("vrbovec-partner", shape(1, 8, WORKER)), ("kabelwerk-billing", shape(12, 1, RACK))]
+}
+
+/// Draws from the standard normal distribution, as a sum of twelve.
+fn normal(random: &mut StdRng) -> f64 {
+    (0..12).map(|_| random.random_range(0.0..1.0)).sum::<f64>() - 6.0
+}
+
+fn fleet() -> Vec<Report> {
+    let (centres, racks, workers, accelerators) = FLEET;
+    let mut fleet = Vec::new();
+    for centre in 0..centres {
+        for rack in 0..racks {
+            for worker in 0..workers {
+                fleet.push(Report {
+                    worker: Name::from(format!("w{centre}-{rack}-{worker}")),
+                    incarnation: 1,
+                    data_centre: Name::from(format!("z{centre}")),
+                    rack: Name::from(format!("r{rack}")),
+                    accelerators,
+                    processors: 64,
+                    memory_mb: 131_072,
+                    leaving: false,
+                    tasks: Vec::new(),
+                });
+            }
+        }
+    }
+    fleet
+}
+
+fn config() -> Config {
+    let mut accounts: Vec<Account> = KINDS
+        .iter()
+        .map(|kind| Account {
+            name: Name::from(kind.account),
+            quota: 0,
+            weight: 1,
+            guarantees: Vec::new(),
+        })
+        .collect();
+    for (account, shape) in guarantees() {
+        let name = Name::from("promised");
+        let guarantees = vec![Guarantee { name, shape, data_centres: SmallVec::new() }];
+        accounts.push(Account { name: Name::from(account), quota: 0, weight: 1, guarantees });
+    }
+    let zones = (0..FLEET.0).map(|zone| Zone { name: Name::from(format!("z{zone}")), open: true });
+    Config { revision: 1, accounts, zones: zones.collect(), policy: Policy::default() }
+}
--- /dev/null
+++ b/lib/benches/scale.rs
@@ -0,0 +1,296 @@
+//! What a decision costs at the design size, a tenth and ten times of it.
+//!
+//! `cargo bench -p lavendergauge-lib --bench scale` prints a table.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use lavendergauge_lib::clock::Millis;
+use lavendergauge_lib::fleet::Account;
+use lavendergauge_lib::fleet::Config;
+use lavendergauge_lib::fleet::Guarantee;
+use lavendergauge_lib::fleet::Policy;
+use lavendergauge_lib::fleet::Report;
+use lavendergauge_lib::fleet::Zone;
+use lavendergauge_lib::guarantee;
+use lavendergauge_lib::name::Name;
+use lavendergauge_lib::planner::Action;
+use lavendergauge_lib::planner::Event;
+use lavendergauge_lib::planner::Planner;
+use lavendergauge_lib::planner::Submission;
+use lavendergauge_lib::shape::Adjacency;
+use lavendergauge_lib::shape::Seats;
+use lavendergauge_lib::shape::Shape;
+use lavendergauge_lib::table::Class;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use smallvec::SmallVec;
+
+/// Workers at the design size.
+const WORKERS: usize = 1800;
+/// Tasks that run at the design size.
+const TASKS: usize = 15_000;
+/// Client accounts at the design size.
+const ACCOUNTS: usize = 580;
+/// Data centres, at every size.
+const CENTRES: usize = 20;
+/// Workers in a rack.
+const RACK: usize = 3;
+/// Placements that are timed.
+const PLACEMENTS: usize = 2000;
+/// Ticks that are timed.
+const TICKS: usize = 300;
+/// Feasibility checks that are timed.
+const CHECKS: usize = 10;
+/// Seed of everything that is drawn.
+const SEED: u64 = 4;
+
+/// A fleet of some size, filled with tasks.
+struct Scene {
+    planner: Planner,
+    config: Config,
+    fleet: Vec<Report>,
+    now: Millis,
+    random: StdRng,
+    running: Vec<Name>,
+    next: usize,
+}
+
+fn main() {
+    println!(
+        "| size | workers | accelerators | tasks | accounts | placement p50/p99 (us) | \
+         tick p50/p99 (us) | cancel wave, each (us) | replan (ms) | feasibility of all (ms) | \
+         state (MB) |"
+    );
+    println!("|---|{}", "---:|".repeat(10));
+    for (name, tenths) in [("a tenth", 1), ("design", 10), ("ten times", 100)] {
+        measure(name, tenths);
+    }
+}
+
+fn measure(name: &str, tenths: usize) {
+    let scaled = |count: usize| count * tenths / 10;
+    let before = resident_kb();
+    let mut scene = Scene::new(scaled(WORKERS), scaled(ACCOUNTS));
+    scene.fill(scaled(TASKS));
+    let state = resident_kb().saturating_sub(before) as f64 / 1024.0;
+    let placements = scene.placements();
+    let ticks = scene.ticks();
+    let wave = scene.wave(scaled(TASKS));
+    let replan = scene.replan();
+    let feasibility = scene.feasibility();
+    let pair = |times: &Histogram<u64>| {
+        let micros = |quantile| times.value_at_quantile(quantile) as f64 / 1000.0;
+        format!("{:.0} / {:.0}", micros(0.5), micros(0.99))
+    };
+    println!(
+        "| {name} | {} | {} | {} | {} | {} | {} | {:.2} | {:.1} | {:.1} | {state:.1} |",
+        scaled(WORKERS),
+        scene.accelerators(),
+        scaled(TASKS),
+        scaled(ACCOUNTS),
+        pair(&placements),
+        pair(&ticks),
+        wave.as_secs_f64() * 1e6,
+        replan.as_secs_f64() * 1e3,
+        feasibility.as_secs_f64() * 1e3,
+    );
+}
+
+impl Scene {
+    fn new(workers: usize, accounts: usize) -> Scene {
+        let fleet: Vec<Report> = (0..workers).map(report).collect();
+        let zones = (0..CENTRES).map(|zone| Zone { name: centre(zone), open: true }).collect();
+        let accounts = (0..accounts).map(account).collect();
+        let config = Config { revision: 1, accounts, zones, policy: Policy::default() };
+        let mut planner = Planner::default();
+        planner.apply(Millis(0), Event::Configure(config.clone()));
+        for report in &fleet {
+            planner.apply(Millis(0), Event::Announce(report.clone()));
+        }
+        planner.tick(Millis(0));
+        let random = StdRng::seed_from_u64(SEED);
+        let now = Millis(10_000);
+        Scene { planner, config, fleet, now, random, running: Vec::new(), next: 0 }
+    }
+
+    fn accelerators(&self) -> usize {
+        self.fleet.iter().map(|row| usize::from(row.accelerators)).sum()
+    }
+
+    fn submit(&mut self, accelerators: u32) -> Name {
+        let name = Name::from(format!("job-{}", self.next));
+        let account = self.next % self.config.accounts.len();
+        self.next += 1;
+        self.planner.apply(
+            self.now,
+            Event::Submit(Submission {
+                job: name.clone(),
+                account: Name::from(format!("account-{account}")),
+                shape: Shape {
+                    members: 1,
+                    accelerators,
+                    processors: 1,
+                    memory_mb: 512,
+                    adjacency: Adjacency::Worker,
+                },
+                class: [Class::Urgent, Class::Ordinary, Class::Patient][self.next % 3],
+                guarantee: None,
+                data_centres: SmallVec::new(),
+                checkpoints: self.next.is_multiple_of(2),
+                idempotent: true,
+                declared_s: 3600,
+                attempt: 0,
+                seats: Seats::new(),
+            }),
+        );
+        name
+    }
+
+    /// Ticks and confirms what starts; returns how long the tick took.
+    fn tick(&mut self) -> Duration {
+        self.now = self.now + Duration::from_millis(100);
+        let begun = Instant::now();
+        let actions = self.planner.tick(self.now);
+        let took = begun.elapsed();
+        for action in actions {
+            if let Action::Start { job, attempt, .. } = action {
+                self.running.push(job.clone());
+                self.planner.apply(self.now, Event::Started { job, attempt });
+            }
+        }
+        took
+    }
+
+    /// Starts tasks, most without accelerators, until so many run.
+    fn fill(&mut self, tasks: usize) {
+        let accelerators = self.accelerators();
+        for index in 0..tasks {
+            let accelerated = index * 10 < accelerators * 7;
+            self.submit(u32::from(accelerated));
+        }
+        while self.running.len() < tasks {
+            let before = self.running.len();
+            self.tick();
+            assert!(before < self.running.len() || self.next == 0, "the fleet has room for all");
+        }
+    }
+
+    fn end_one(&mut self) {
+        let index = self.random.random_range(0..self.running.len());
+        let job = self.running.swap_remove(index);
+        self.planner.apply(self.now, Event::Ended { job });
+    }
+
+    /// Times ticks in which one job ends and one starts.
+    fn placements(&mut self) -> Histogram<u64> {
+        let mut times = Histogram::new(3).expect("a histogram");
+        for index in 0..PLACEMENTS {
+            self.end_one();
+            self.submit(u32::from(index % 5 == 0));
+            let took = self.tick();
+            times.record(took.as_nanos() as u64).expect("in range");
+        }
+        times
+    }
+
+    /// Times ticks under a queue that cannot start, while every worker announces itself.
+    fn ticks(&mut self) -> Histogram<u64> {
+        let mut times = Histogram::new(3).expect("a histogram");
+        for _ in 0..self.config.accounts.len() * 2 {
+            self.submit(4);
+        }
+        for index in 0..TICKS {
+            for _ in 0..3 {
+                self.end_one();
+                self.submit(u32::from(index % 5 == 0));
+            }
+            let report = self.fleet[index % self.fleet.len()].clone();
+            self.planner.apply(self.now, Event::Announce(report));
+            let took = self.tick();
+            times.record(took.as_nanos() as u64).expect("in range");
+        }
+        times
+    }
+
+    /// Cancels many waiting jobs at once; returns the cost of each with the tick after them.
+    fn wave(&mut self, jobs: usize) -> Duration {
+        let names: Vec<Name> = (0..jobs).map(|_| self.submit(4)).collect();
+        let begun = Instant::now();
+        for job in names {
+            self.planner.apply(self.now, Event::Ended { job });
+        }
+        self.planner.tick(self.now);
+        begun.elapsed() / jobs as u32
+    }
+
+    /// Loses a worker with holds; returns what the next tick takes.
+    fn replan(&mut self) -> Duration {
+        let tables = self.planner.tables();
+        let held = tables.guarantees.values().find_map(|row| row.holds.first().copied());
+        let worker = held.map(|spot| tables.workers[spot.worker].name.clone());
+        self.planner.apply(self.now, Event::Lose(worker.expect("a hold")));
+        self.tick()
+    }
+
+    /// Asks whether all guarantees fit; returns what that takes.
+    fn feasibility(&mut self) -> Duration {
+        let begun = Instant::now();
+        for _ in 0..CHECKS {
+            assert!(guarantee::unfit(&self.config, &self.fleet).is_empty(), "all fit");
+        }
+        begun.elapsed() / CHECKS as u32
+    }
+}
+
+fn centre(index: usize) -> Name {
+    Name::from(format!("centre-{index}"))
+}
+
+/// Makes a worker; a seventh of them have eight accelerators, and the rest of them few.
+fn report(index: usize) -> Report {
+    let wide = index % 7 == 0;
+    Report {
+        worker: Name::from(format!("worker-{index}")),
+        incarnation: 1,
+        data_centre: centre(index / RACK % CENTRES),
+        rack: Name::from(format!("rack-{}", index / RACK / CENTRES)),
+        accelerators: if wide { 8 } else { u8::from(index % 2 == 0) },
+        processors: 32,
+        memory_mb: 65_536,
+        leaving: false,
+        tasks: Vec::new(),
+    }
+}
+
+/// Makes an account; every third has a guarantee of two accelerators, every tenth one of four.
+fn account(index: usize) -> Account {
+    let accelerators = match index {
+        index if index % 10 == 0 => 4,
+        index if index % 3 == 0 => 2,
+        _ => 0,
+    };
+    let shape = Shape {
+        members: 1,
+        accelerators,
+        processors: 1,
+        memory_mb: 1024,
+        adjacency: Adjacency::Worker,
+    };
+    let guarantee =
+        Guarantee { name: Name::from("promised"), shape, data_centres: SmallVec::new() };
+    let guarantees = if accelerators == 0 { Vec::new() } else { vec![guarantee] };
+    Account { name: Name::from(format!("account-{index}")), quota: 0, weight: 1, guarantees }
+}
+
+/// Returns the memory that the process holds, in kilobytes.
+fn resident_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let fields: HashMap<&str, &str> =
+        status.lines().filter_map(|line| line.split_once(':')).collect();
+    let rss = fields.get("VmRSS").and_then(|text| text.split_whitespace().next());
+    rss.and_then(|text| text.parse().ok()).unwrap_or_default()
+}
