drain: space that is being cleared takes no more backfill

Urgent jobs had to wait as long as others had run.

Change: a target that is being cleared counts as ready after the notice. Jobs like one that found no free space in a tick are not searched for again in it.

--- a/lib/src/drain.rs
+++ b/lib/src/drain.rs
@@ -31,6 +31,8 @@
 const DRAINED_PART: u32 = 4;
 /// Multiple of the bound for patient jobs.
 const PATIENT: u32 = 4;
+/// Part of the bound for urgent jobs, as a divisor.
+const URGENT: u32 = 120;
 /// Multiple of the bound after which checkpointed jobs leave.
 const ESCALATE: u32 = 2;
 /// Time that a checkpointed job runs before it leaves for a long wait.
@@ -44,7 +46,7 @@
 pub(crate) fn bound(tables: &Tables, job: &Job) -> Duration {
     let bound = tables.policy.large_wait;
     match job.class {
-        Class::Urgent => bound / PATIENT,
+        Class::Urgent => bound / URGENT,
         Class::Ordinary => bound,
         Class::Patient => bound * PATIENT,
     }
@@ -59,6 +61,7 @@
 pub(crate) fn advance(tables: &mut Tables, now: Millis, actions: &mut Vec<Action>) {
     let freed = tables.version != tables.drained;
     tables.drained = tables.version;
+    let mut failed = Vec::new();
     for job in std::mem::take(&mut tables.drains) {
         if !waits(tables, job) {
             continue;
@@ -67,9 +70,15 @@
             ledger::drop_target(tables, job);
             continue;
         }
-        if start(tables, now, job, actions) || freed && start_elsewhere(tables, now, job, actions) {
+        if start(tables, now, job, actions) {
             continue;
         }
+        if freed && !fails_alike(tables, &failed, job) {
+            if start_elsewhere(tables, now, job, actions) {
+                continue;
+            }
+            failed.push(job);
+        }
         tables.drains.push(job);
         clear(tables, now, job, actions);
     }
@@ -202,6 +211,16 @@
     ready
 }
 
+/// Tells whether a job like this one has found no free space in this tick.
+fn fails_alike(tables: &Tables, failed: &[key::Job], job: key::Job) -> bool {
+    let row = &tables.jobs[job];
+    failed.iter().map(|&other| &tables.jobs[other]).any(|other| {
+        other.shape == row.shape
+            && other.data_centres == row.data_centres
+            && other.evictable() == row.evictable()
+    })
+}
+
 /// Starts a job on free space outside its target.
 fn start_elsewhere(
     tables: &mut Tables,
@@ -219,20 +238,28 @@
 fn clear(tables: &mut Tables, now: Millis, job: key::Job, actions: &mut Vec<Action>) {
     let row = &tables.jobs[job];
     let long = bound(tables, row) * ESCALATE <= now.since(row.waiting);
-    let (name, member) = (row.name.clone(), row.shape.member());
+    let (name, member, class) = (row.name.clone(), row.shape.member(), row.class);
     let shortages = reclaim::shortages(tables, member, &spots(tables, job), |worker| {
         tables.workers[worker].claimed
     });
     let fills = |other: &Job| other.backfills == Some(job);
     let victims = reclaim::choose(tables, now, &shortages, |_, other| fills(other)).or_else(|| {
         let had_turn = |other: &Job| {
-            other.claim.is_none() && other.checkpoints && TURN <= now.since(other.started)
+            let turn =
+                class == Class::Urgent && class < other.class || TURN <= now.since(other.started);
+            other.claim.is_none() && other.checkpoints && turn
         };
         reclaim::choose(tables, now, &shortages, |_, other| {
             fills(other) || (long && had_turn(other))
         })
     });
-    for victim in victims.unwrap_or_default() {
+    let victims = victims.unwrap_or_default();
+    if !victims.is_empty() {
+        let soon = now + tables.policy.notice;
+        let target = tables.jobs[job].target.as_mut();
+        target.into_iter().for_each(|target| target.ready = soon);
+    }
+    for victim in victims {
         reclaim::stop(tables, now, victim, Cause::LongWait(name.clone()), actions);
     }
 }
