compact: small checkpointed jobs move together so that workers become whole

Change: demand for widths is weighed by the work of ended jobs; what is left free on a worker weighs more and borrowing less.

--- a/lib/src/adjacency.rs
+++ b/lib/src/adjacency.rs
@@ -1,5 +1,7 @@
 //! Which places keep free space whole: stranded accelerators under the demand that is seen.
 
+use std::time::Duration;
+
 use lavendergauge_derive::row;
 
 use crate::shape::Adjacency;
@@ -7,40 +9,43 @@
 
 /// Widths of free space that are told apart, in accelerators of one worker.
 pub const WIDTHS: [u32; 4] = [1, 2, 4, 8];
-/// Share of the old demand that is left after one more job has come.
-const KEPT: f64 = 0.995;
+/// Share of the old demand that is left after one more job has ended.
+const KEPT: f64 = 0.999;
+/// Work that is taken for granted at every width before any was seen, in accelerator-seconds.
+const PRIOR: f64 = 1000.0;
 
-/// How the accelerators that are asked for split over widths.
+/// How the work that is asked for splits over widths.
 #[row]
 pub struct Demand {
-    weights: [f64; WIDTHS.len()],
+    work: [f64; WIDTHS.len()],
 }
 
 impl Default for Demand {
     fn default() -> Self {
-        Demand { weights: [1.0 / WIDTHS.len() as f64; WIDTHS.len()] }
+        Demand { work: [PRIOR; WIDTHS.len()] }
     }
 }
 
 impl Demand {
-    /// Takes in one more job.
+    /// Takes in a job that has come to its end.
     ///
     /// ```
+    /// use std::time::Duration;
     /// use lavendergauge_lib::adjacency::Demand;
     /// use lavendergauge_lib::shape::Adjacency;
     /// use lavendergauge_lib::shape::Shape;
     /// let mut demand = Demand::default();
     /// let before = demand.stranded(4);
     /// let wide = Shape { members: 1, accelerators: 8, processors: 0, memory_mb: 0, adjacency: Adjacency::Worker };
-    /// demand.record(&wide);
+    /// demand.record(&wide, Duration::from_secs(3600));
     /// assert!(before < demand.stranded(4));
     /// ```
-    pub fn record(&mut self, shape: &Shape) {
+    pub fn record(&mut self, shape: &Shape, ran: Duration) {
         let Some(index) = WIDTHS.iter().position(|&width| width_of(shape) <= width) else { return };
-        for weight in &mut self.weights {
-            *weight *= KEPT;
+        for work in &mut self.work {
+            *work *= KEPT;
         }
-        self.weights[index] += 1.0 - KEPT;
+        self.work[index] += f64::from(shape.total()) * ran.as_secs_f64();
     }
 
     /// Returns how many of a worker's free accelerators are stranded.
@@ -56,11 +61,9 @@
     /// assert_eq!(Demand::default().stranded(1), 0.75);
     /// ```
     pub fn stranded(&self, free: u32) -> f64 {
-        WIDTHS
-            .iter()
-            .zip(self.weights)
-            .map(|(width, weight)| weight * f64::from(free % width))
-            .sum()
+        let all: f64 = self.work.iter().sum();
+        let widths = WIDTHS.iter().zip(self.work);
+        widths.map(|(width, work)| work / all * f64::from(free % width)).sum()
     }
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 mod backlog;
 mod census;
 mod claim;
+mod compact;
 mod configure;
 mod drain;
 pub mod estimate;
--- a/lib/src/place.rs
+++ b/lib/src/place.rs
@@ -17,11 +17,11 @@
 use crate::witness;
 
 /// Weight of an accelerator left free on the worker, against one that is stranded.
-const LEFT_OVER: f64 = 0.02;
+const LEFT_OVER: f64 = 0.5;
 /// Cost of an accelerator that a job would have to give back to a claim.
-const BORROWED: f64 = 0.05;
+const BORROWED: f64 = 0.01;
 /// Cost of a borrowed accelerator whose work is lost when it is given back.
-const BORROWED_WITHOUT_CHECKPOINT: f64 = 0.5;
+const BORROWED_WITHOUT_CHECKPOINT: f64 = 0.05;
 /// Time that drained space must stay unused for a job to fill it.
 const BACKFILL_LEAST: Duration = Duration::from_secs(20);
 /// Quantile of run times that must end before drained space is needed.
--- a/lib/src/planner.rs
+++ b/lib/src/planner.rs
@@ -10,6 +10,7 @@
 use crate::census;
 use crate::claim;
 use crate::clock::Millis;
+use crate::compact;
 use crate::configure;
 use crate::drain;
 use crate::estimate;
@@ -51,6 +52,8 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which jobs past their bound are given space to drain.
 const DRAIN_EVERY: Duration = Duration::from_secs(1);
+/// Interval at which one worker may be emptied so that it is free as a whole.
+const COMPACT_EVERY: Duration = Duration::from_secs(10);
 /// Workers that lately refused to start a job and are left out for it.
 const AVOIDED: usize = 2;
 
@@ -157,6 +160,8 @@
     WorkerLost(Name),
     /// A job has waited for longer than may be.
     LongWait(Name),
+    /// The job moves so that the worker becomes free as a whole.
+    Compact(Name),
     /// The job uses more than it declared.
     Overuse(Name),
 }
@@ -256,6 +261,7 @@
     unchecked: Vec<key::Job>,
     begun: Option<Millis>,
     drained: Option<Millis>,
+    compacted: Option<Millis>,
 }
 
 impl Planner {
@@ -329,6 +335,10 @@
             let overdue = self.backlog.overdue(&self.tables, now);
             drain::reserve(&mut self.tables, now, overdue);
         }
+        if self.compacted.is_none_or(|compacted| COMPACT_EVERY <= now.since(compacted)) {
+            self.compacted = Some(now);
+            compact::run(&mut self.tables, now, &mut actions);
+        }
         actions
     }
 
@@ -407,7 +417,6 @@
             self.pending.push(Action::Refuse { job: submission.job, reason });
             return;
         }
-        self.tables.demand.record(&submission.shape);
         let seats = submission.seats.clone();
         let name = submission.job.clone();
         let job = self.tables.jobs.insert(waiting(since, account, submission));
@@ -569,7 +578,9 @@
         let row = &self.tables.jobs[job];
         let succeeded = row.state == State::Running;
         if succeeded {
+            let (shape, ran) = (row.shape, row.run_time(now));
             estimate::record(&mut self.tables, now, job);
+            self.tables.demand.record(&shape, ran);
         }
         probation::left(&mut self.tables, job, succeeded);
         self.end(now, name);
