place: backfill looks only at the drained workers, and drains are cleared in turns

Change: backfill weighs the drained workers alone; stops for a drain are weighed twice a second; a shape that one worker holds whole is known to be possible at once. Urgent jobs escalate as soon as they have space to drain.

--- a/lib/benches/scale.rs
+++ b/lib/benches/scale.rs
@@ -252,13 +252,13 @@
 
 /// Makes a worker; a seventh of them have eight accelerators, and the rest of them few.
 fn report(index: usize) -> Report {
-    let wide = index % 7 == 0;
+    let wide = index.is_multiple_of(7);
     Report {
         worker: Name::from(format!("worker-{index}")),
         incarnation: 1,
         data_centre: centre(index / RACK % CENTRES),
         rack: Name::from(format!("rack-{}", index / RACK / CENTRES)),
-        accelerators: if wide { 8 } else { u8::from(index % 2 == 0) },
+        accelerators: if wide { 8 } else { u8::from(index.is_multiple_of(2)) },
         processors: 32,
         memory_mb: 65_536,
         leaving: false,
@@ -269,8 +269,8 @@
 /// Makes an account; every third has a guarantee of two accelerators, every tenth one of four.
 fn account(index: usize) -> Account {
     let accelerators = match index {
-        index if index % 10 == 0 => 4,
-        index if index % 3 == 0 => 2,
+        index if index.is_multiple_of(10) => 4,
+        index if index.is_multiple_of(3) => 2,
         _ => 0,
     };
     let shape = Shape {
--- a/lib/src/claim.rs
+++ b/lib/src/claim.rs
@@ -91,7 +91,7 @@
     }
     evict(tables, now, job, &way.shortages, actions);
     let ready = now + tables.policy.notice;
-    let target = Target { spots: way.spots, purpose: Purpose::Claim, ready };
+    let target = Target { spots: way.spots, purpose: Purpose::Claim, ready, cleared: None };
     ledger::keep(tables, job, target);
     Claimed::Kept
 }
--- a/lib/src/drain.rs
+++ b/lib/src/drain.rs
@@ -39,6 +39,8 @@
 const TURN: Duration = Duration::from_secs(300);
 /// Time for which a job of unknown length is expected to go on.
 const UNKNOWN: Duration = Duration::from_secs(3600);
+/// Interval at which it is looked whether stops would free a target.
+const CLEAR_EVERY: Duration = Duration::from_millis(500);
 /// Quantile of run times that a target's readiness is planned on.
 const QUANTILE: f64 = 0.5;
 
@@ -161,7 +163,7 @@
     let spots = found.spots?;
     let wait = |spot: &Spot| wait(tables, now, spot.worker, member.times(spot.members));
     let longest = spots.iter().map(wait).max().unwrap_or_default();
-    Some(Target { spots, purpose: Purpose::Drain, ready: now + longest })
+    Some(Target { spots, purpose: Purpose::Drain, ready: now + longest, cleared: None })
 }
 
 /// Returns the time until a worker is expected to have room.
@@ -228,7 +230,7 @@
     job: key::Job,
     actions: &mut Vec<Action>,
 ) -> bool {
-    let found = place::find(tables, now, job, None);
+    let found = place::find(tables, now, job);
     let Some(spots) = found.spots else { return false };
     place::set_down(tables, now, job, &spots, found.weighed, actions);
     true
@@ -236,8 +238,14 @@
 
 /// Stops what fills the target, and after long those that have had their turn.
 fn clear(tables: &mut Tables, now: Millis, job: key::Job, actions: &mut Vec<Action>) {
+    let Some(target) = &mut tables.jobs[job].target else { return };
+    if target.cleared.is_some_and(|cleared| now.since(cleared) < CLEAR_EVERY) {
+        return;
+    }
+    target.cleared = Some(now);
     let row = &tables.jobs[job];
-    let long = bound(tables, row) * ESCALATE <= now.since(row.waiting);
+    let long =
+        row.class == Class::Urgent || bound(tables, row) * ESCALATE <= now.since(row.waiting);
     let (name, member, class) = (row.name.clone(), row.shape.member(), row.class);
     let shortages = reclaim::shortages(tables, member, &spots(tables, job), |worker| {
         tables.workers[worker].claimed
--- a/lib/src/explain.rs
+++ b/lib/src/explain.rs
@@ -206,7 +206,7 @@
         let stopping = stopping_on(tables, &target.spots);
         return Wait::Borrowers { guarantee, workers, stopping };
     }
-    let found = place::find(tables, now, job, None);
+    let found = place::find(tables, now, job);
     if let Some(spots) = found.spots {
         return Wait::Turn { workers: names(tables, &spots), alternatives: found.weighed };
     }
--- a/lib/src/guarantee.rs
+++ b/lib/src/guarantee.rs
@@ -177,6 +177,10 @@
     if allowed.is_empty() {
         return Err(Reason::NoDataCentre);
     }
+    let whole = shape.member().times(shape.members);
+    if allowed.iter().any(|site| whole.fits(site.room)) {
+        return Ok(());
+    }
     let mut units: BTreeMap<(u32, u32, usize), (u32, u64, u64)> = BTreeMap::new();
     for (index, site) in allowed.into_iter().enumerate() {
         let unit = match shape.adjacency {
--- a/lib/src/place.rs
+++ b/lib/src/place.rs
@@ -9,6 +9,7 @@
 use crate::room::Room;
 use crate::seat;
 use crate::seat::Found;
+use crate::shape::Adjacency;
 use crate::table::Job;
 use crate::table::Purpose;
 use crate::table::Spots;
@@ -39,7 +40,7 @@
     if over_quota(tables, job) {
         return false;
     }
-    let found = find(tables, now, job, None);
+    let found = find(tables, now, job);
     if let Some(spots) = found.spots {
         set_down(tables, now, job, &spots, found.weighed, actions);
         return true;
@@ -52,10 +53,9 @@
         if drain == job || !may_backfill(tables, now, job, drain) {
             continue;
         }
-        let found = find(tables, now, job, Some(drain));
-        if let Some(spots) = found.spots {
+        if let Some(spots) = within_drain(tables, now, job, drain) {
             tables.jobs[job].backfills = Some(drain);
-            set_down(tables, now, job, &spots, found.weighed, actions);
+            set_down(tables, now, job, &spots, 1, actions);
             return true;
         }
     }
@@ -104,22 +104,43 @@
     account.quota != 0 && account.quota < account.held.saturating_add(row.shape.total())
 }
 
-/// Searches free space for a job, with the space that drains for `filled` if that is given.
-pub(crate) fn find(tables: &Tables, now: Millis, job: key::Job, filled: Option<key::Job>) -> Found {
+/// Searches free space for a job.
+pub(crate) fn find(tables: &Tables, now: Millis, job: key::Job) -> Found {
     let row = &tables.jobs[job];
     let compactness = f64::from(tables.policy.compactness_percent.min(100)) / 100.0;
-    let promise_blocks = !row.evictable() && unmet_here(tables, row);
-    let room = |worker: key::Worker, state: &Worker| {
-        if promise_blocks || !seat::admits(now, row, state) || refilling(tables, now, state) {
-            return None;
-        }
-        Some(offer(tables, row, worker, state, filled))
+    if !row.evictable() && unmet_here(tables, row) {
+        return Found { spots: None, weighed: 0 };
+    }
+    let room = |_, state: &Worker| {
+        let open = seat::admits(now, row, state) && !refilling(tables, now, state);
+        open.then(|| offer(row, state, state.draining))
     };
     seat::search(tables, row.shape, &row.data_centres, room, |worker, state, members| {
         seat::blame(row, worker) + price(tables, row, state, members, compactness)
     })
 }
 
+/// Finds room for a job on the workers that drain for another.
+fn within_drain(tables: &Tables, now: Millis, job: key::Job, drain: key::Job) -> Option<Spots> {
+    let row = &tables.jobs[job];
+    let other = &tables.jobs[drain];
+    if row.shape.adjacency < other.shape.adjacency && row.shape.adjacency != Adjacency::Worker {
+        return None;
+    }
+    let mut rooms = Vec::new();
+    for spot in other.target.iter().flat_map(|target| &target.spots) {
+        let state = &tables.workers[spot.worker];
+        let centre = &tables.data_centres[tables.racks[state.rack].data_centre];
+        let allowed = row.data_centres.is_empty() || row.data_centres.contains(&centre.name);
+        let open = centre.open && seat::admits(now, row, state) && !refilling(tables, now, state);
+        if allowed && open {
+            let kept = state.draining.minus(other.shape.member().times(spot.members));
+            rooms.push((spot.worker, offer(row, state, kept)));
+        }
+    }
+    seat::within(row.shape, &rooms)
+}
+
 /// Finds free space for a job that cannot be evicted by moving holds off it.
 fn beside_holds(tables: &mut Tables, now: Millis, job: key::Job) -> Option<Spots> {
     let row = &tables.jobs[job];
@@ -140,21 +161,8 @@
     witness::make_room(tables, member, &spots).then_some(spots)
 }
 
-/// Returns what a worker offers to a job.
-fn offer(
-    tables: &Tables,
-    job: &Job,
-    worker: key::Worker,
-    state: &Worker,
-    filled: Option<key::Job>,
-) -> Room {
-    let mut draining = state.draining;
-    let targets = filled.and_then(|drain| tables.jobs.get(drain));
-    if let Some((drain, target)) = targets.and_then(|row| row.target.as_ref().map(|t| (row, t))) {
-        for spot in target.spots.iter().filter(|spot| spot.worker == worker) {
-            draining = draining.minus(drain.shape.member().times(spot.members));
-        }
-    }
+/// Returns what a worker offers to a job beside claims and what is kept of drained space.
+fn offer(job: &Job, state: &Worker, draining: Room) -> Room {
     let room = state.room().minus(state.claimed).minus(draining);
     if job.evictable() { room } else { least(room, state.unpromised()) }
 }
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -211,6 +211,8 @@
     pub purpose: Purpose,
     /// When it is expected to be free.
     pub ready: Millis,
+    /// When it was last looked whether stops would free it.
+    pub cleared: Option<Millis>,
 }
 
 /// A job.
