--- /dev/null
+++ b/lib/tests/large_jobs.rs
@@ -0,0 +1,184 @@
+//! No starvation: drained space, backfill that delays nobody, urgent work, shares.
+
+mod support;
+
+use std::time::Duration;
+
+use lavendergauge_lib::explain::Explanation;
+use lavendergauge_lib::explain::Wait;
+use lavendergauge_lib::name::Name;
+use lavendergauge_lib::planner::Action;
+use lavendergauge_lib::planner::Cause;
+use lavendergauge_lib::planner::Submission;
+use lavendergauge_lib::shape::Adjacency;
+use lavendergauge_lib::table::Class;
+use support::World;
+use support::account;
+use support::job;
+use support::report;
+use support::shape;
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Time in which urgent work starts, in milliseconds.
+const URGENT_MS: u64 = 3300;
+
+fn small(name: &str, account: &str) -> Submission {
+    job(name, account, shape(1, 1, Adjacency::Worker))
+}
+
+fn large(name: &str) -> Submission {
+    job(name, "b", shape(1, 8, Adjacency::Worker))
+}
+
+fn world(workers: &[&str]) -> World {
+    let fleet = workers.iter().map(|name| report("z1", "r1", name, 8)).collect();
+    World::new(vec![account("a", 0, vec![]), account("b", 0, vec![])], &["z1"], fleet)
+}
+
+/// Keeps both workers full of short jobs that cannot be evicted, each ending after its turn.
+fn churn(world: &mut World, seconds: u64, pinned: bool) {
+    for second in 0..seconds {
+        for index in 0..4 {
+            let mut row = small(&format!("s{}-{index}", world.now.0), "a");
+            row.checkpoints = !pinned;
+            row.idempotent = !pinned;
+            world.submit(row);
+        }
+        world.run(SECOND);
+        let tables = world.planner.tables();
+        let running = tables.jobs.values().filter(|row| row.shape.total() == 1 && row.placed());
+        let mut names: Vec<_> = running.map(|row| (row.started, row.name.clone())).collect();
+        names.sort();
+        if second % 2 == 0 {
+            for (_, name) in names.into_iter().take(4) {
+                world.end(name.as_str());
+            }
+        }
+    }
+}
+
+#[test]
+fn burst_of_small() {
+    let mut world = world(&["w1", "w2"]);
+    churn(&mut world, 20, true);
+    world.submit(large("big"));
+    churn(&mut world, 200, true);
+    let started = world.first_start("big").expect("the large job starts");
+    let drained = 20_000 + 3000 + 120_000;
+    assert!(started <= drained + 20_000, "started at {started} ms");
+}
+
+#[test]
+fn long_runs() {
+    let mut world = world(&["w1"]);
+    world.submit(large("old"));
+    world.run(SECOND);
+    world.submit(large("new"));
+    world.run(SECOND * 400);
+    let stopped = |action: &Action| matches!(action, Action::Stop { job, cause: Cause::LongWait(_), .. } if job.as_str() == "old");
+    assert_eq!(world.decided(stopped), 1, "a checkpointed job leaves after its turn");
+    assert!(world.runs("new"));
+}
+
+#[test]
+fn backfill_leaves() {
+    let mut world = world(&["w1"]);
+    let mut pinned = small("pinned", "a");
+    (pinned.checkpoints, pinned.idempotent) = (false, false);
+    world.submit(pinned);
+    world.run(SECOND);
+    world.submit(large("big"));
+    world.run(SECOND * 130);
+    world.submit(small("filler", "a"));
+    world.run(SECOND * 2);
+    assert!(world.runs("filler"), "drained space is used while it waits");
+    world.end("pinned");
+    world.run(SECOND * 3);
+    assert!(world.runs("big") && !world.runs("filler"));
+}
+
+#[test]
+fn pinned_keeps_off() {
+    let mut world = world(&["w1"]);
+    let mut pinned = small("pinned", "a");
+    (pinned.checkpoints, pinned.idempotent) = (false, false);
+    world.submit(pinned.clone());
+    world.run(SECOND);
+    world.submit(large("big"));
+    world.run(SECOND * 130);
+    world.submit(Submission { job: Name::from("late"), ..pinned });
+    world.run(SECOND * 20);
+    assert!(!world.runs("late"), "what cannot be stopped does not fill drained space");
+    let why = world.planner.explain(world.now, &Name::from("big"));
+    let Some(Explanation::Waiting { cause: Wait::Drain { workers, .. }, .. }) = why else {
+        panic!("it waits for a drain: {why:?}");
+    };
+    assert_eq!(workers, [Name::from("w1")]);
+}
+
+#[test]
+fn urgent_in_time() {
+    let mut world = world(&["w1"]);
+    world.submit(Submission { class: Class::Patient, ..large("batch") });
+    world.run(SECOND);
+    let asked = world.now.0;
+    let mut sheet = small("sheet", "a");
+    (sheet.class, sheet.checkpoints, sheet.idempotent) = (Class::Urgent, false, false);
+    world.submit(sheet);
+    world.run(SECOND * 6);
+    let took = world.first_start("sheet").expect("it starts") - asked;
+    assert!(took <= URGENT_MS, "started after {took} ms");
+}
+
+#[test]
+fn shares_over_time() {
+    let mut world = world(&["w1"]);
+    for index in 0..8 {
+        world.submit(small(&format!("a{index}"), "a"));
+    }
+    world.run(SECOND * 2400);
+    for index in 0..8 {
+        world.submit(small(&format!("more{index}"), "a"));
+        world.submit(small(&format!("b{index}"), "b"));
+    }
+    for index in 0..8 {
+        world.end(&format!("a{index}"));
+    }
+    world.run(SECOND);
+    let of_b = (0..8).filter(|index| world.runs(&format!("b{index}"))).count();
+    let of_a = (0..8).filter(|index| world.runs(&format!("more{index}"))).count();
+    assert_eq!(of_a + of_b, 8);
+    assert!(of_a < of_b, "who held much lately comes after who did not: {of_a} and {of_b}");
+}
+
+#[test]
+fn quota_holds() {
+    let fleet = vec![report("z1", "r1", "w1", 8)];
+    let mut world = World::new(vec![account("a", 3, vec![])], &["z1"], fleet);
+    for index in 0..5 {
+        world.submit(small(&format!("j{index}"), "a"));
+        world.run(SECOND);
+    }
+    assert_eq!((0..5).filter(|index| world.runs(&format!("j{index}"))).count(), 3);
+    let why = world.planner.explain(world.now, &Name::from("j4"));
+    let cause = Wait::Quota { quota: 3, held: 3, needed: 1 };
+    assert_eq!(why, Some(Explanation::Waiting { ahead: 1, cause }));
+}
+
+#[test]
+fn cancel_wave() {
+    let mut world = world(&["w1"]);
+    world.submit(large("first"));
+    world.run(SECOND);
+    for index in 0..20_000 {
+        world.submit(large(&format!("j{index}")));
+    }
+    world.tick();
+    let before = world.log.len();
+    for index in 0..20_000 {
+        world.end(&format!("j{index}"));
+    }
+    world.tick();
+    assert_eq!(world.log.len(), before, "cancelled jobs are decided nothing of");
+    assert_eq!(world.planner.tables().jobs.len(), 1);
+}
