drain: urgent jobs get space at once, several at a time, from the cheapest borrowers

Cause: urgent jobs' first wait was 40.5 s at p99 and 312.5 s at most, where urgent work starts in 3.3 s: one job of a line got space each second, the drained part of the fleet was full of large jobs, and the workers were chosen by when jobs would end and not by what may leave.

Change: up to sixteen urgent jobs of a line get space at a time, beside the part for large jobs; jobs of less pressing classes leave for them if they are checkpointed or have run for a minute at most, small ones before large ones.

Conclusion: the p99 of plain urgent jobs is still above 3.3 s; claims are not.

--- a/lib/benches/policy/figure.rs
+++ b/lib/benches/policy/figure.rs
@@ -72,6 +72,14 @@
         totals
     }
 
+    /// Returns the waits of urgent jobs that claim nothing, until they first start.
+    fn urgent_waits(&self) -> Vec<f64> {
+        let urgent = self.outcomes.iter().filter(|row| row.class == Class::Urgent && !row.claim);
+        let mut waits: Vec<f64> = urgent.map(|row| row.first_wait_s).collect();
+        waits.sort_by(f64::total_cmp);
+        waits
+    }
+
     /// Returns the waits of large jobs, all the time in which they did not run.
     fn large_waits(&self) -> Vec<f64> {
         let large = self.outcomes.iter().filter(|row| row.large && !row.claim);
@@ -93,7 +101,7 @@
 /// One line of the table.
 type Line = (&'static str, fn(&Figures) -> f64);
 
-const LINES: [Line; 28] = [
+const LINES: [Line; 30] = [
     ("completion mean, all (s)", |f| mean(&f.totals(|_| true))),
     ("completion p50, all (s)", |f| quantile(&f.totals(|_| true), 0.5)),
     ("completion p99, all (s)", |f| quantile(&f.totals(|_| true), 0.99)),
@@ -123,6 +131,8 @@
         all.sort_by(f64::total_cmp);
         quantile(&all, 0.99)
     }),
+    ("urgent jobs' first wait, p99 (s)", |f| quantile(&f.urgent_waits(), 0.99)),
+    ("urgent jobs' first wait, longest (s)", |f| quantile(&f.urgent_waits(), 1.0)),
     ("large jobs' wait, mean (s)", |f| mean(&f.large_waits())),
     ("large jobs' wait, p99 (s)", |f| quantile(&f.large_waits(), 0.99)),
     ("large jobs' wait, longest (s)", |f| quantile(&f.large_waits(), 1.0)),
--- a/lib/src/backlog.rs
+++ b/lib/src/backlog.rs
@@ -36,6 +36,11 @@
 /// Searches in one tick, at least.
 const LEAST_SEARCHES: usize = 16;
 
+/// Jobs of a line that can be given drained space at a time.
+const OVERDUE: usize = 1;
+/// Urgent jobs of a line that can be given drained space at a time.
+const OVERDUE_URGENT: usize = 16;
+
 /// What jobs must have in common so that none finds a place where another found none.
 #[value]
 #[derive(PartialOrd, Ord, Hash)]
@@ -196,12 +201,16 @@
         }
     }
 
-    /// Returns the longest waiting job of each line, if it is past its bound.
+    /// Returns the longest waiting jobs of each line that are past their bound.
     pub(crate) fn overdue(&self, tables: &Tables, now: Millis) -> Vec<key::Job> {
-        let heads = self.lines.values().filter_map(|jobs| jobs.front().copied());
-        heads
-            .filter(|&job| ready(tables, job) && drain::overdue(tables, now, &tables.jobs[job]))
-            .collect()
+        let late =
+            |job: &key::Job| ready(tables, *job) && drain::overdue(tables, now, &tables.jobs[*job]);
+        let mut overdue = Vec::new();
+        for (line, jobs) in &self.lines {
+            let most = if line.class == Class::Urgent { OVERDUE_URGENT } else { OVERDUE };
+            overdue.extend(jobs.iter().copied().take(most).filter(late));
+        }
+        overdue
     }
 
     /// Returns the waiting jobs of one wish for each of the lines, with a shape and data centres.
--- a/lib/src/drain.rs
+++ b/lib/src/drain.rs
@@ -29,6 +29,12 @@
 
 /// Part of the fleet's accelerators that may drain at a time, as a divisor.
 const DRAINED_PART: u32 = 4;
+/// Urgent jobs for which space drains at a time, at most.
+const MOST_URGENT: usize = 64;
+/// Time that each accelerator of a job that leaves counts for, in the choice among workers.
+const YIELD_COST: Duration = Duration::from_secs(60);
+/// Run time that an urgent job may cost one that is run again from its start.
+const SACRIFICE: Duration = Duration::from_secs(60);
 /// Multiple of the bound for patient jobs.
 const PATIENT: u32 = 4;
 /// Part of the bound for urgent jobs, as a divisor.
@@ -88,12 +94,16 @@
 
 /// Gives the longest waiting jobs a target, as far as the drained part of the fleet allows.
 pub(crate) fn reserve(tables: &mut Tables, now: Millis, mut jobs: Vec<key::Job>) {
-    jobs.sort_by_key(|&job| (tables.jobs[job].submitted, job));
+    let urgent = |tables: &Tables, job: key::Job| tables.jobs[job].class == Class::Urgent;
+    jobs.sort_by_key(|&job| (!urgent(tables, job), tables.jobs[job].submitted, job));
     for job in jobs {
         let row = &tables.jobs[job];
-        let drained: u32 = tables.drains.iter().map(|&job| tables.jobs[job].shape.total()).sum();
+        let others = tables.drains.iter().filter(|&&other| !urgent(tables, other));
+        let drained: u32 = others.map(|&job| tables.jobs[job].shape.total()).sum();
         let room = tables.fleet.accelerators / DRAINED_PART;
-        let full = !tables.drains.is_empty() && room < drained + row.shape.total();
+        let full = 0 < drained && room < drained + row.shape.total();
+        let urgents = tables.drains.iter().filter(|&&other| urgent(tables, other)).count();
+        let full = if urgent(tables, job) { MOST_URGENT <= urgents } else { full };
         if full || row.target.is_some() || place::over_quota(tables, job) {
             continue;
         }
@@ -157,24 +167,24 @@
     };
     let member = row.shape.member();
     let found = seat::search(tables, row.shape, &row.data_centres, room, |worker, _, members| {
-        let wait = wait(tables, now, worker, member.times(members));
+        let wait = wait(tables, now, row.class, worker, member.times(members));
         seat::blame(row, worker) + wait.as_secs_f64()
     });
     let spots = found.spots?;
-    let wait = |spot: &Spot| wait(tables, now, spot.worker, member.times(spot.members));
+    let wait = |spot: &Spot| wait(tables, now, row.class, spot.worker, member.times(spot.members));
     let longest = spots.iter().map(wait).max().unwrap_or_default();
     Some(Target { spots, purpose: Purpose::Drain, ready: now + longest, cleared: None })
 }
 
 /// Returns the time until a worker is expected to have room.
-fn wait(tables: &Tables, now: Millis, worker: key::Worker, needed: Room) -> Duration {
+fn wait(tables: &Tables, now: Millis, class: Class, worker: key::Worker, needed: Room) -> Duration {
     let state = &tables.workers[worker];
     let mut room = state.room().minus(state.claimed).minus(state.draining);
     if needed.fits(room) {
         return Duration::ZERO;
     }
     let mut ends: Vec<(Duration, key::Job)> =
-        state.jobs.iter().map(|&job| (remaining(tables, now, job), job)).collect();
+        state.jobs.iter().map(|&job| (remaining(tables, now, class, job), job)).collect();
     ends.sort_unstable();
     for (end, job) in ends {
         room = room.plus(reclaim::on_worker(tables, job, worker));
@@ -185,14 +195,23 @@
     UNKNOWN * 2
 }
 
-fn remaining(tables: &Tables, now: Millis, job: key::Job) -> Duration {
+fn remaining(tables: &Tables, now: Millis, class: Class, job: key::Job) -> Duration {
     let row = &tables.jobs[job];
     if row.state == State::Stopping {
         return tables.policy.notice;
     }
+    if yields(now, class, row) {
+        return tables.policy.notice + YIELD_COST * row.shape.total();
+    }
     tables.estimates.remaining(row, row.run_time(now), QUANTILE).unwrap_or(UNKNOWN)
 }
 
+/// Tells whether a job leaves at once for one of a class.
+fn yields(now: Millis, class: Class, other: &Job) -> bool {
+    let cheap = other.checkpoints || other.idempotent && now.since(other.started) <= SACRIFICE;
+    class == Class::Urgent && class < other.class && other.claim.is_none() && cheap
+}
+
 fn spots(tables: &Tables, job: key::Job) -> crate::table::Spots {
     tables.jobs[job].target.as_ref().map(|target| target.spots.clone()).unwrap_or_default()
 }
@@ -253,9 +272,8 @@
     let fills = |other: &Job| other.backfills == Some(job);
     let victims = reclaim::choose(tables, now, &shortages, |_, other| fills(other)).or_else(|| {
         let had_turn = |other: &Job| {
-            let turn =
-                class == Class::Urgent && class < other.class || TURN <= now.since(other.started);
-            other.claim.is_none() && other.checkpoints && turn
+            let turn = other.checkpoints && TURN <= now.since(other.started);
+            other.claim.is_none() && turn || yields(now, class, other)
         };
         reclaim::choose(tables, now, &shortages, |_, other| {
             fills(other) || (long && had_turn(other))
