--- a/lib/benches/policy/figure.rs
+++ b/lib/benches/policy/figure.rs
@@ -165,7 +165,7 @@
     println!("|---|{}", "---:|".repeat(rows.len()));
     for (name, figure) in LINES {
         print!("| {name} |");
-        rows.iter().for_each(|(_, figures)| print!(" {:.1} |", figure(figures)));
+        rows.iter().for_each(|(_, figures)| print!(" {:.2} |", figure(figures)));
         println!();
     }
 }
