preview: a waiting job is explained by the planner

Cause: the explanation counted free accelerators by itself and could only guess whether a quota, a guarantee or a drain was in the way.

Change: the reason is `Planner::explain`'s, from the planner that decided.

Measured: daemon's api_jobs tests pass (4, in 2.4 s).

Conclusion: one place knows why a job waits.

--- a/daemon/src/preview.rs
+++ b/daemon/src/preview.rs
@@ -1,6 +1,7 @@
 //! What the planner would do: a planner of its own decides on a copy, and nothing is carried out.
 
 use lavendergauge_derive::row;
+use lavendergauge_lib::clock::Millis;
 use lavendergauge_lib::name::Name;
 use lavendergauge_lib::planner;
 use lavendergauge_lib::planner::Action;
@@ -39,7 +40,11 @@
 
 /// Returns the decisions of a planner on a scene, once it takes the fleet for complete.
 pub fn decide(scene: &Scene) -> Vec<Action> {
-    let now = clock::now();
+    plan(scene, clock::now()).1
+}
+
+/// Runs a planner on a scene and returns it with what it decided.
+fn plan(scene: &Scene, now: Millis) -> (Planner, Vec<Action>) {
     let mut planner = Planner::default();
     planner.apply(now, Event::Configure(config::fleet(&scene.document)));
     for frame in &scene.frames {
@@ -55,7 +60,7 @@
     }
     let mut actions = planner.tick(now);
     actions.extend(planner.tick(now + planner::SETTLE));
-    actions
+    (planner, actions)
 }
 
 /// Turns a record into what the planner takes in, with the seats of a live attempt.
@@ -123,8 +128,11 @@
         return explanation;
     }
     explanation.decision = Decision::Wait;
-    explanation.reason = waits(scene, record);
-    for action in decide(scene) {
+    let now = clock::now();
+    let (planner, actions) = plan(scene, now);
+    let why = planner.explain(now + planner::SETTLE, &Name::from(&record.id));
+    explanation.reason = why.map(|why| why.to_string()).unwrap_or_default();
+    for action in actions {
         match action {
             Action::Start { job, seats: places, alternatives, .. } if job.as_str() == record.id => {
                 explanation.decision = Decision::Start;
@@ -177,30 +185,6 @@
     rows
 }
 
-/// Says in words why a job waits that the planner neither starts nor refuses.
-fn waits(scene: &Scene, record: &Record) -> String {
-    let open: Vec<&Frame> = scene
-        .frames
-        .iter()
-        .filter(|frame| config::is_open(&scene.document, &frame.data_centre) && !frame.leaving)
-        .filter(|frame| {
-            let allowed = &record.spec.data_centres;
-            allowed.is_empty() || allowed.contains(&frame.data_centre)
-        })
-        .collect();
-    if open.is_empty() {
-        return "no worker stands in a data centre that it may run in".to_owned();
-    }
-    let free: usize = open.iter().map(|frame| free(frame)).sum();
-    let needed = record.spec.members * record.spec.accelerators;
-    format!(
-        "it needs {needed} accelerators within one {}; {free} are free on {} workers, but not so, \
-         or they are kept for a guarantee or a job before it",
-        record.spec.adjacency.to_string().replace('-', " "),
-        open.len()
-    )
-}
-
 /// Returns the number of a worker's accelerators that nothing holds.
 pub fn free(frame: &Frame) -> usize {
     let held: usize = frame
