bench: the cost of hearing every worker

Cause: the daemon gives the planner every announcement in every tick, and the scale bench timed ticks with one.

--- a/lib/benches/scale.rs
+++ b/lib/benches/scale.rs
@@ -62,10 +62,10 @@
 fn main() {
     println!(
         "| size | workers | accelerators | tasks | accounts | placement p50/p99 (us) | \
-         tick p50/p99 (us) | cancel wave, each (us) | replan (ms) | feasibility of all (ms) | \
+         tick p50/p99 (us) | all announcements (ms) | cancel wave, each (us) | replan (ms) | feasibility of all (ms) | \
          state (MB) |"
     );
-    println!("|---|{}", "---:|".repeat(10));
+    println!("|---|{}", "---:|".repeat(11));
     for (name, tenths) in [("a tenth", 1), ("design", 10), ("ten times", 100)] {
         measure(name, tenths);
     }
@@ -79,6 +79,7 @@
     let state = resident_kb().saturating_sub(before) as f64 / 1024.0;
     let placements = scene.placements();
     let ticks = scene.ticks();
+    let announcements = scene.announcements();
     let wave = scene.wave(scaled(TASKS));
     let replan = scene.replan();
     let feasibility = scene.feasibility();
@@ -87,13 +88,14 @@
         format!("{:.0} / {:.0}", micros(0.5), micros(0.99))
     };
     println!(
-        "| {name} | {} | {} | {} | {} | {} | {} | {:.2} | {:.1} | {:.1} | {state:.1} |",
+        "| {name} | {} | {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.1} | {:.1} | {state:.1} |",
         scaled(WORKERS),
         scene.accelerators(),
         scaled(TASKS),
         scaled(ACCOUNTS),
         pair(&placements),
         pair(&ticks),
+        announcements.as_secs_f64() * 1e3,
         wave.as_secs_f64() * 1e6,
         replan.as_secs_f64() * 1e3,
         feasibility.as_secs_f64() * 1e3,
@@ -216,6 +218,16 @@
         times
     }
 
+    /// Has every worker announce itself, as in each tick of the daemon; returns what that takes.
+    fn announcements(&mut self) -> Duration {
+        let reports = self.fleet.clone();
+        let begun = Instant::now();
+        for report in reports {
+            self.planner.apply(self.now, Event::Announce(report));
+        }
+        begun.elapsed()
+    }
+
     /// Cancels many waiting jobs at once; returns the cost of each with the tick after them.
     fn wave(&mut self, jobs: usize) -> Duration {
         let names: Vec<Name> = (0..jobs).map(|_| self.submit(4)).collect();
