store: calls grow with entries, not with the fleet

Cause: nothing measured how the calls of an entry depend on the number of workers, and the stand-in did not count calls while it was down.

Change: a test compares two quiet fleets; the stand-in counts every call.

--- a/daemon/tests/store_budget.rs
+++ b/daemon/tests/store_budget.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use lavendergauge_daemon::embedded;
+use lavendergauge_daemon::embedded::Plan;
 use lavendergauge_daemon::store::Error;
 use lavendergauge_daemon::store::Store;
 use lavendergauge_fakes::kv::Fault;
@@ -90,3 +92,23 @@
     }
     assert!(0 < held, "claims beyond the budget are held back, as never sent");
 }
+
+/// Returns the calls a second of a quiet fleet of one entry.
+async fn quiet_calls(workers: usize) -> f64 {
+    let plan = Plan { workers, ..Plan::default() };
+    let fleet = embedded::start(&plan).await.expect("starts");
+    fleet.change("first", embedded::set_up(&[], &["zilina-1", "zilina-2"])).await.expect("made");
+    fleet.wait_in_force(1, Duration::from_secs(5)).await.expect("in force");
+    let count = || fleet.kv.calls().values().sum::<u64>();
+    let (before, begun) = (count(), time::Instant::now());
+    time::sleep(Duration::from_secs(3)).await;
+    (count() - before) as f64 / begun.elapsed().as_secs_f64()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_follow_entries() {
+    let (few, many) = tokio::join!(quiet_calls(1), quiet_calls(8));
+    println!("calls a second of one entry: {few:.1} with 2 workers, {many:.1} with 16");
+    assert!(few <= 150.0 && many <= 150.0, "an entry's share of the reads");
+    assert!(many < few * 2.0, "eight times the workers do not make twice the calls");
+}
--- a/fakes/src/kv.rs
+++ b/fakes/src/kv.rs
@@ -187,6 +187,7 @@
         let fault = self.lock().fault.clone();
         time::sleep(fault.delay).await;
         if fault.down {
+            *self.lock().calls.entry(call.path.clone()).or_default() += 1;
             return http::status(StatusCode::SERVICE_UNAVAILABLE);
         }
         let answer = self.carry_out(&call);
