api: listing data centres no longer locks the entry's state twice

Cause: one statement read the configuration and the announcements, so that the lock taken for the first was still held when the second asked for it; GET /v1/data-centres never answered and held up the whole entry.

Change: two statements.

Measured: site_commands hung before and passes in 2 s now.

Conclusion: the command line's tests call every list.

--- a/daemon/src/api_data_centre.rs
+++ b/daemon/src/api_data_centre.rs
@@ -17,7 +17,8 @@
 
 /// Lists the data centres with what stands and runs there.
 pub fn list(call: &Call) -> Reply {
-    let (document, frames) = (call.entry.core().document.clone(), call.frames());
+    let document = call.entry.core().document.clone();
+    let frames = call.frames();
     let mut centres: Vec<api::DataCentre> =
         document.data_centres.iter().map(|zone| describe(zone, &frames)).collect();
     centres.sort_by(|one, other| one.name.cmp(&other.name));
