logs: a bound on the rate of lines, and metrics that count every event

Cause: a burst wrote as many lines as there were events, and nothing could be scraped.

Change: a token bucket before the writer drops lines beyond lines_per_s and says with the next line how many; each event is counted in the metrics whether or not its line is written. Entries and agents render gauges at GET /metrics. logs::Value quotes what would not stand alone.

Conclusion: the rate of lines is the operator's to set, and the counts stay whole.

--- a/daemon/src/agent_service.rs
+++ b/daemon/src/agent_service.rs
@@ -44,6 +44,7 @@
 use crate::agent_run::Running;
 use crate::clock;
 use crate::problem;
+use crate::telemetry;
 
 /// Path at which an entry hands a request over.
 pub const RUN_PATH: &str = "/internal/run";
@@ -117,6 +118,9 @@
 /// Answers one request of an entry.
 pub async fn answer(agent: Arc<Agent>, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
+    if head.uri.path() == "/metrics" {
+        return telemetry::agent(&agent);
+    }
     if !access::is_fleet(&agent.access, &head.headers) {
         return problem::response(&access::foreign());
     }
--- a/daemon/src/entry_control.rs
+++ b/daemon/src/entry_control.rs
@@ -20,6 +20,7 @@
 use crate::config_peer;
 use crate::entry::Entry;
 use crate::problem;
+use crate::telemetry;
 
 /// Most bytes of a request to the administration API.
 const REQUEST_LIMIT: usize = 1 << 20;
@@ -29,6 +30,7 @@
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/health") => api::json(&json!({"health": "good"})),
         (&Method::GET, "/ready") => ready(&entry),
+        (&Method::GET, "/metrics") => telemetry::entry(&entry),
         (_, path) if path.starts_with("/internal/") => internal(&entry, request).await,
         _ => {
             let reply = operate(entry, request).await;
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -62,6 +62,7 @@
 mod store_read;
 mod store_sure;
 pub mod store_watch;
+pub mod telemetry;
 pub mod tour;
 pub mod tour_measure;
 pub mod valid;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -23,6 +23,9 @@
 /// Bound on a graceful stop.
 const STOP_LIMIT: Duration = Duration::from_secs(60);
 
+/// Most log lines a second in the tour.
+const TOUR_LINES_PER_S: u64 = 500;
+
 fn command() -> Command {
     let settings =
         Arg::new("settings").long("settings").value_name("FILE").required(true).help("INI file");
@@ -50,7 +53,7 @@
             Ok(())
         }
         _ => {
-            logs::start(LevelFilter::Warn);
+            logs::start(LevelFilter::Warn, TOUR_LINES_PER_S);
             tour::run().await.map_err(|error| error.to_string())
         }
     };
@@ -95,7 +98,7 @@
 
 async fn run(matches: &ArgMatches) -> Result<(), String> {
     let settings = read(&path(matches))?;
-    logs::start(settings.log.level);
+    logs::start(settings.log.level, settings.log.lines_per_s);
     match &settings.role {
         Role::Entry(role) => {
             let handle =
--- /dev/null
+++ b/daemon/src/telemetry.rs
@@ -0,0 +1,79 @@
+//! Metrics of a process, in the text form that Prometheus reads.
+//!
+//! Names end in their unit. Counters grow with the log's events; gauges are read at the scrape.
+
+use std::sync::LazyLock;
+
+use hyper::Response;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use lavendergauge_net::body;
+use lavendergauge_net::body::Body;
+use metrics::counter;
+use metrics::gauge;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::agent::Agent;
+use crate::config_status;
+use crate::entry::Entry;
+use crate::preview;
+
+/// Recorder of the process, set up at its first use.
+static HANDLE: LazyLock<PrometheusHandle> = LazyLock::new(|| {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    // Another recorder can only have been set by an embedding program; ours then stays empty.
+    let _ = metrics::set_global_recorder(recorder);
+    handle
+});
+
+/// Counts one event of the log, whether or not its line is written.
+pub fn count_event(name: &str) {
+    LazyLock::force(&HANDLE);
+    counter!("lavendergauge_events_total", "event" => name.to_owned()).increment(1);
+}
+
+/// Answers a scrape of an entry.
+pub fn entry(entry: &Entry) -> Response<Body> {
+    LazyLock::force(&HANDLE);
+    let core = entry.core();
+    let name = entry.name.clone();
+    let set = |metric: &'static str, value: f64| {
+        gauge!(metric, "process" => name.clone()).set(value);
+    };
+    let frames = || core.members.iter().map(|member| &member.frame);
+    set("lavendergauge_workers", frames().count() as f64);
+    set("lavendergauge_accelerators", frames().map(|f| f64::from(f.accelerators)).sum());
+    set("lavendergauge_accelerators_free", frames().map(|f| preview::free(f) as f64).sum());
+    set("lavendergauge_requests_running", frames().map(|f| f64::from(f.load.slots_used)).sum());
+    set("lavendergauge_config_revision", core.document.revision as f64);
+    let late = frames().filter(|frame| frame.revision < core.document.revision).count();
+    set("lavendergauge_workers_behind", late as f64);
+    drop(core);
+    let age = config_status::read(entry).confirmed_ms;
+    set("lavendergauge_config_age_seconds", age.map_or(f64::INFINITY, |ms| ms as f64 / 1000.0));
+    scrape()
+}
+
+/// Answers a scrape of an agent.
+pub fn agent(agent: &Agent) -> Response<Body> {
+    LazyLock::force(&HANDLE);
+    let core = agent.core();
+    let name = agent.name.clone();
+    let set = |metric: &'static str, value: f64| {
+        gauge!(metric, "process" => name.clone()).set(value);
+    };
+    set("lavendergauge_requests_running", f64::from(core.requests.used()));
+    set("lavendergauge_config_revision", core.permit.revision() as f64);
+    set("lavendergauge_leaving", if core.leaving { 1.0 } else { 0.0 });
+    drop(core);
+    scrape()
+}
+
+fn scrape() -> Response<Body> {
+    let mut response = Response::new(body::full(HANDLE.render()));
+    let media = HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(CONTENT_TYPE, media);
+    response
+}
--- /dev/null
+++ b/daemon/tests/log_lines.rs
@@ -0,0 +1,82 @@
+//! Log lines are quoted, bounded in their rate, and counted for the metrics.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use hyper::Request;
+use lavendergauge_daemon::embedded;
+use lavendergauge_daemon::embedded::Plan;
+use lavendergauge_daemon::logs::Bounded;
+use lavendergauge_daemon::logs::Value;
+use lavendergauge_daemon::telemetry;
+use lavendergauge_net::body;
+use log::Log;
+use log::Metadata;
+use log::Record;
+
+/// A logger that keeps its lines.
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<String>>>);
+
+impl Log for Kept {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        self.0.lock().expect("lines").push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+#[test]
+fn burst_bounded() {
+    let kept = Kept::default();
+    let bounded = Bounded::new(Box::new(kept.clone()), 1);
+    let write = |text: &str| {
+        bounded.log(&Record::builder().args(format_args!("{text}")).build());
+    };
+    (0..1000).for_each(|index| write(&format!("event=burst index={index}")));
+    let burst = kept.0.lock().expect("lines").len();
+    assert!(burst < 10, "{burst} lines of 1000");
+    std::thread::sleep(Duration::from_millis(1100));
+    write("event=after");
+    let lines = kept.0.lock().expect("lines");
+    assert!(lines[burst].starts_with("event=lines-dropped lines="), "{lines:?}");
+    assert_eq!(lines[burst + 1], "event=after");
+}
+
+#[test]
+fn values_quoted() {
+    let shown: Vec<String> =
+        ["plain", "", "two words", "a=b"].iter().map(|text| Value(text).to_string()).collect();
+    assert_eq!(shown, ["plain", "\"\"", "\"two words\"", "\"a=b\""]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_scraped() {
+    let fleet = embedded::start(&Plan::default()).await.expect("starts");
+    let limit = Duration::from_secs(10);
+    fleet.wait_in_force(0, limit).await.expect("announced");
+    telemetry::count_event("trial");
+    let agent = fleet.workers[0].agent.as_ref().expect("agent").address;
+    let scrape = async |address: std::net::SocketAddr| {
+        let request = Request::get(format!("http://{address}/metrics")).body(body::empty());
+        let answer = fleet.client.fetch(request.expect("request"), limit).await.expect("answer");
+        String::from_utf8(answer.body().to_vec()).expect("text")
+    };
+    let text = scrape(fleet.entries[0].control_address).await;
+    for line in [
+        "lavendergauge_workers{process=\"entry-1\"} 4",
+        "lavendergauge_accelerators_free{process=\"entry-1\"} 32",
+        "lavendergauge_events_total{event=\"trial\"} 1",
+    ] {
+        assert!(text.lines().any(|other| other == line), "{line} in\n{text}");
+    }
+    let text = scrape(agent).await;
+    let line = "lavendergauge_leaving{process=\"zilina-1-0-0\"} 0";
+    assert!(text.lines().any(|other| other == line), "{text}");
+    fleet.stop().await;
+}
