questionnaire: settings and a configuration from a team's answers

Cause: a new team had to find every knob and its value by hand.

Change: answers from the terminal or an INI file are checked against one another, each contradiction with its reason; policy, ticks and announcements are continuous functions of the answers and each stands under a comment with its reason.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -19,6 +19,7 @@
 pub mod guarantee;
 pub mod job;
 pub mod operator;
+pub mod questionnaire;
 pub mod request;
 pub mod target;
 pub mod worker;
@@ -79,6 +80,7 @@
         .subcommand(target::command())
         .subcommand(config::command())
         .subcommand(explain::command())
+        .subcommand(questionnaire::command())
         .subcommand(completions::command())
 }
 
@@ -121,6 +123,7 @@
         Some(("target", matches)) => target::run(&context, matches).await,
         Some(("config", matches)) => config::run(&context, matches).await,
         Some(("explain", matches)) => explain::run(&context, matches).await,
+        Some(("questionnaire", matches)) => questionnaire::run(matches),
         Some(("completions", matches)) => Ok(completions::run(matches)),
         _ => Ok(Report::new("", &())),
     }
--- a/cli/src/commands/config.rs
+++ b/cli/src/commands/config.rs
@@ -10,6 +10,7 @@
 use lavendergauge_wire::api::Status;
 use lavendergauge_wire::config::Change;
 use lavendergauge_wire::config::Document;
+use lavendergauge_wire::config::Made;
 use lavendergauge_wire::config::Operation;
 use lavendergauge_wire::strict;
 use serde_json::Value;
@@ -28,6 +29,7 @@
 use crate::difference;
 use crate::error::Error;
 use crate::report::Report;
+use crate::report::Table;
 
 /// Path of the changes.
 const CHANGES: &str = "/v1/config/changes";
@@ -50,6 +52,7 @@
         .subcommand(
             Command::new("diff").about("Show what a file's configuration would change").arg(file()),
         )
+        .subcommand(Command::new("history").about("List the newest accepted changes"))
         .subcommand(
             Command::new("status")
                 .about("Show where the configuration is in force")
@@ -66,6 +69,7 @@
     match matches.subcommand() {
         Some(("apply", matches)) => apply(context, matches).await,
         Some(("diff", matches)) => diff(context, matches).await,
+        Some(("history", _)) => history(context).await,
         Some(("status", matches)) => status(context, matches).await,
         _ => {
             let document: Document = context.api.read("/v1/config").await?;
@@ -84,6 +88,10 @@
     let bytes = fs::read(path).map_err(|error| wrong(error.to_string()))?;
     let mut value: Value =
         serde_json::from_slice(&bytes).map_err(|error| wrong(error.to_string()))?;
+    if let Some(fields) = value.as_object_mut() {
+        // The questionnaire explains there what it derived.
+        fields.remove("comment");
+    }
     for (field, default) in GIVEN.into_iter().zip([Value::from(0), "".into(), "".into()]) {
         if value.is_object() && value[field].is_null() {
             value[field] = default;
@@ -130,6 +138,15 @@
     value
 }
 
+async fn history(context: &Context) -> Result<Report, Error> {
+    let changes: Vec<Made> = context.api.read("/v1/config/history").await?;
+    let mut table = Table::new(&["REVISION", "CHANGE", "AUTHOR"]);
+    for made in &changes {
+        table.row([&made.revision, &made.id, &made.author]);
+    }
+    Ok(Report::new(table.write(), &changes))
+}
+
 async fn status(context: &Context, matches: &ArgMatches) -> Result<Report, Error> {
     let path = "/v1/config/status";
     if !matches.get_flag("wait") {
@@ -138,13 +155,15 @@
     let limit = Duration::from_secs(u64::from(number(matches, "timeout-s", 30_u32)));
     let status = context.wait(limit, async || {
         let status: Status = context.api.read(path).await?;
-        match status.behind.len() {
-            0 => Ok(Wait::Over(status)),
-            late => Ok(Wait::Still(format!(
-                "revision {} is not in force on {late} of {} workers",
-                status.revision, status.workers
-            ))),
+        if status.everywhere {
+            return Ok(Wait::Over(status));
         }
+        Ok(Wait::Still(format!(
+            "revision {} is not in force on {} of {} workers, or not at every entry",
+            status.revision,
+            status.behind.len(),
+            status.workers
+        )))
     });
     Ok(describe(&status.await?))
 }
@@ -155,6 +174,9 @@
         "revision {} by {} at {}\n  in force on {current} of {} workers\n",
         status.revision, status.author, status.entry, status.workers
     );
+    for place in status.entries.iter().filter(|place| place.revision < status.revision) {
+        lines.push_str(&format!("  entry {} has revision {}\n", place.entry, place.revision));
+    }
     for behind in &status.behind {
         lines.push_str(&format!("  {} has revision {}\n", behind.worker, behind.revision));
     }
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod context;
 pub mod difference;
 pub mod error;
+pub mod questions;
 pub mod report;
 pub mod secret;
--- a/cli/tests/site_commands.rs
+++ b/cli/tests/site_commands.rs
@@ -81,6 +81,10 @@
     sees(&fleet, &format!("config diff {file}"), "nothing would change\n").await;
     let status = "revision 2 by open at entry-1\n  in force on 2 of 2 workers\n";
     sees(&fleet, "config status --wait", status).await;
+    let (_, history) = run(&fleet, "config history").await;
+    let lines: Vec<&str> = history.lines().collect();
+    assert_eq!(lines.len(), 3, "{history}");
+    assert!(lines[2].starts_with("2         cli-") && lines[2].ends_with("  open"), "{history}");
     let (_, shown) = run(&fleet, "config show").await;
     let shown: serde_json::Value = serde_json::from_str(&shown).expect("JSON");
     assert_eq!(shown["revision"], 2);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod outlier;
 pub mod permit;
 pub mod planner;
+pub mod questionnaire;
 pub mod queue;
 pub mod request;
 pub mod retry;
