access: a bound on calls that show no good key

Cause: a peer without a key could make calls as fast as it liked.

Good keys are never held up, also behind a balancer's address. Secrets longer than 256 bytes are not hashed.

--- a/daemon/src/access.rs
+++ b/daemon/src/access.rs
@@ -22,6 +22,8 @@
 
 /// Identifier of the operator key that the settings name.
 pub const BOOTSTRAP: &str = "bootstrap";
+/// Longest secret that is looked at, in bytes.
+const SECRET_LENGTH: usize = 256;
 /// Author of changes while no keys are configured.
 pub const OPEN: &str = "open";
 
@@ -82,6 +84,9 @@
     let Some((id, secret)) = shown.and_then(|text| text.trim().split_once('.')) else {
         return Err(unproven("Authorization is not `Bearer <id>.<secret>`"));
     };
+    if SECRET_LENGTH < secret.len() {
+        return Err(unproven("the key is unknown or has expired"));
+    }
     let hash = hash(secret);
     let fits = |known: &str, expires_ms: u64| {
         let live = expires_ms == 0 || now_ms < expires_ms;
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -42,6 +42,7 @@
 use crate::entry_route;
 use crate::entry_route::Router;
 use crate::entry_service;
+use crate::guard::Guard;
 use crate::member;
 use crate::problem;
 use crate::settings;
@@ -253,11 +254,21 @@
     let (stop, stopped) = watch::channel(false);
     let on_service = entry.clone();
     let on_control = entry.clone();
-    let service_handler = move |request: Request<Incoming>, _: SocketAddr| -> Answer {
-        Box::pin(entry_service::answer(on_service.clone(), request))
+    let guard = Arc::new(Guard::default());
+    let on_control_guard = guard.clone();
+    let service_handler = move |request: Request<Incoming>, peer: SocketAddr| -> Answer {
+        let (entry, guard) = (on_service.clone(), guard.clone());
+        Box::pin(async move {
+            let answer = entry_service::answer(entry, request).await;
+            guard.screen(clock::now(), peer.ip(), answer)
+        })
     };
-    let control_handler = move |request: Request<Incoming>, _: SocketAddr| -> Answer {
-        Box::pin(entry_control::answer(on_control.clone(), request))
+    let control_handler = move |request: Request<Incoming>, peer: SocketAddr| -> Answer {
+        let (entry, guard) = (on_control.clone(), on_control_guard.clone());
+        Box::pin(async move {
+            let answer = entry_control::answer(entry, request).await;
+            guard.screen(clock::now(), peer.ip(), answer)
+        })
     };
     let tasks = vec![
         tokio::spawn(server::serve_tls(
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod entry_service;
 pub mod entry_upload;
 pub mod epoch;
+pub mod guard;
 pub mod job;
 pub mod launch;
 pub mod logs;
--- a/daemon/tests/api_access.rs
+++ b/daemon/tests/api_access.rs
@@ -123,3 +123,20 @@
     }
     fleet.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn failures_bounded() {
+    let fleet = fleet().await;
+    let control = fleet.entries[0].control_address;
+    let mut refused = 0;
+    for _ in 0..60 {
+        let get = (Method::GET, "/v1/workers");
+        let (status, _) = call(&fleet, control, "nobody.guess", get, &Value::Null).await;
+        refused += u32::from(status == 429);
+    }
+    assert!(20 < refused, "{refused} of 60 calls");
+    let (status, _) =
+        call(&fleet, control, FIRST, (Method::GET, "/v1/workers"), &Value::Null).await;
+    assert_eq!(status, 200, "a good key is never held up");
+    fleet.stop().await;
+}
