--- a/cli/src/api.rs
+++ b/cli/src/api.rs
@@ -58,10 +58,11 @@
     /// Makes a client of the entry at a control address, with an access key or none.
     ///
     /// ```no_run
-    /// let _api = lavendergauge_cli::api::Api::new("127.0.0.1:7001", "");
+    /// use lavendergauge_net::client::Client;
+    /// let _api = lavendergauge_cli::api::Api::new("127.0.0.1:7001", "", Client::default());
     /// ```
-    pub fn new(address: &str, key: &str) -> Self {
-        Api { address: address.to_owned(), key: key.to_owned(), client: Client::default() }
+    pub fn new(address: &str, key: &str, client: Client) -> Self {
+        Api { address: address.to_owned(), key: key.to_owned(), client }
     }
 
     /// Returns the entry's control address.
--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -3,6 +3,9 @@
 use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
+use lavendergauge_net::client::Client;
+use lavendergauge_net::client::Options;
+use lavendergauge_net::tls::Trust;
 
 use crate::api::Api;
 use crate::context;
@@ -65,6 +68,10 @@
                 .env("LAVENDERGAUGE_KEY")
                 .hide_env_values(true),
         )
+        .arg(
+            everywhere("authority", "FILE", "Authority of the entries' certificates; turns TLS on")
+                .env("LAVENDERGAUGE_AUTHORITY"),
+        )
         .arg(
             everywhere("format", "FORMAT", "How the answer is written")
                 .value_parser(["text", "json"])
@@ -106,8 +113,10 @@
 /// When no entry can be reached, or it refuses.
 pub async fn run(matches: &ArgMatches, progress: fn(&str)) -> Result<Report, Error> {
     let key = context::text(matches, "key").to_owned();
+    let client = client(context::text(matches, "authority"))?;
     let context = Context {
-        api: Api::new(context::text(matches, "entry"), &key),
+        api: Api::new(context::text(matches, "entry"), &key, client.clone()),
+        client,
         service: context::text(matches, "service").to_owned(),
         key,
         progress,
@@ -129,6 +138,17 @@
     }
 }
 
+/// Makes the client of entries; it speaks TLS when an authority's file is named.
+fn client(authority: &str) -> Result<Client, Error> {
+    if authority.is_empty() {
+        return Ok(Client::default());
+    }
+    let hint = "name the PEM file of the authority that signed the entries' certificates";
+    let trust = Trust::load(authority.into())
+        .map_err(|error| Error::refused(format!("{authority}: {error}"), hint))?;
+    Ok(Client::with_trust(Options::default(), Some(trust)))
+}
+
 /// Makes a positional argument that must be given.
 fn positional(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name).required(true).help(help)
--- a/cli/src/commands/request.rs
+++ b/cli/src/commands/request.rs
@@ -10,7 +10,6 @@
 use hyper::Response;
 use hyper::header::AUTHORIZATION;
 use lavendergauge_net::body;
-use lavendergauge_net::client::Client;
 use serde_json::Value;
 use serde_json::json;
 
@@ -120,7 +119,7 @@
     let request = request.body(body::full(data)).map_err(|error| {
         Error::coded(error::USAGE, format!("the request cannot be made: {error}"), "")
     })?;
-    let answer = Client::default().fetch(request, limit).await.map_err(|cause| {
+    let answer = context.client.fetch(request, limit).await.map_err(|cause| {
         let code = if cause.never_sent() { error::UNREACHABLE } else { error::UNKNOWN };
         Error::coded(code, format!("no answer: {cause}"), "name an entry with --service")
     })?;
--- a/cli/src/context.rs
+++ b/cli/src/context.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use clap::ArgMatches;
+use lavendergauge_net::client::Client;
 use tokio::time;
 
 use crate::api::Api;
@@ -20,6 +21,8 @@
     pub api: Api,
     /// Address that callers' requests go to.
     pub service: String,
+    /// Client of entries, with TLS when an authority is named.
+    pub client: Client,
     /// Access key; empty for none.
     pub key: String,
     /// Shows a line about what is waited for.
