--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -18,6 +18,7 @@
 pub mod completions;
 pub mod config;
 pub mod data_centre;
+pub mod entry;
 pub mod explain;
 pub mod guarantee;
 pub mod job;
@@ -80,6 +81,7 @@
         .subcommand(account::command())
         .subcommand(guarantee::command())
         .subcommand(data_centre::command())
+        .subcommand(entry::command())
         .subcommand(operator::command())
         .subcommand(job::command())
         .subcommand(request::command())
@@ -100,7 +102,7 @@
 /// ```
 /// use lavendergauge_cli::commands;
 /// use lavendergauge_cli::report::Format;
-/// let matches = commands::command().get_matches_from(["x", "worker", "--format", "json"]);
+/// let matches = commands::command().get_matches_from(["x", "worker", "list", "--format", "json"]);
 /// assert_eq!(commands::format(&matches), Format::Json);
 /// ```
 pub fn format(matches: &ArgMatches) -> Format {
@@ -125,6 +127,7 @@
         Some(("account", matches)) => account::run(&context, matches).await,
         Some(("guarantee", matches)) => guarantee::run(&context, matches).await,
         Some(("data-centre", matches)) => data_centre::run(&context, matches).await,
+        Some(("entry", matches)) => entry::run(&context, matches).await,
         Some(("operator", matches)) => operator::run(&context, matches).await,
         Some(("job", matches)) => job::run(&context, matches).await,
         Some(("request", matches)) => request::run(&context, matches).await,
--- a/cli/tests/site_commands.rs
+++ b/cli/tests/site_commands.rs
@@ -81,6 +81,14 @@
     sees(&fleet, &format!("config diff {file}"), "nothing would change\n").await;
     let status = "revision 2 by open at entry-1\n  in force on 2 of 2 workers\n";
     sees(&fleet, "config status --wait", status).await;
+    let (_, entries) = run(&fleet, "entry list").await;
+    let line = entries.lines().nth(1).unwrap_or_default();
+    assert!(
+        line.starts_with("entry-1  127.0.0.1:") && line.ends_with("  2         yes"),
+        "{entries}"
+    );
+    let (code, _) = run(&fleet, "entry remove entry-9").await;
+    assert_eq!(code, 1);
     let (_, history) = run(&fleet, "config history").await;
     let lines: Vec<&str> = history.lines().collect();
     assert_eq!(lines.len(), 3, "{history}");
