--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod clock;
 pub mod fleet;
 pub mod gang;
+mod gang_gate;
 pub mod gang_lease;
 mod gang_member;
 pub mod gang_watch;
