--- a/daemon/tests/faults/main.rs
+++ b/daemon/tests/faults/main.rs
@@ -2,7 +2,9 @@
 
 mod duty_succession;
 mod gang_faults;
+mod gang_wires;
 mod history_seeds;
 mod job_durable;
 mod matrix_store;
 mod process_roles;
+mod reclaim_faults;
--- a/testutils/src/cluster.rs
+++ b/testutils/src/cluster.rs
@@ -16,6 +16,7 @@
 use lavendergauge_daemon::settings::Role;
 use lavendergauge_fakes::http::Server;
 use lavendergauge_fakes::kv::Kv;
+use lavendergauge_fakes::relay::Relay;
 use lavendergauge_fakes::runtime::Execution;
 use lavendergauge_fakes::runtime::Runtime;
 use lavendergauge_fakes::target::Target;
@@ -29,6 +30,7 @@
 use serde_json::json;
 use tokio::time;
 
+use crate::lines::Lines;
 use crate::process::Process;
 
 /// Deadline of one call.
@@ -62,6 +64,8 @@
     pub runtime: Runtime,
     /// Stand-in of the target.
     pub target: Target,
+    /// Its relays, in a cluster that is led through them.
+    pub lines: Option<Lines>,
     servers: [Server; 2],
 }
 
@@ -74,6 +78,7 @@
     /// Stand-in of the store.
     pub kv: Kv,
     plan: Plan,
+    relayed: bool,
     client: Client,
     store: Server,
 }
@@ -115,6 +120,18 @@
     /// # Panics
     /// When it does not come up within ten seconds.
     pub async fn start(plan: Plan) -> Self {
+        Cluster::come_up(plan, false).await
+    }
+
+    /// Starts a cluster like [`Cluster::start`] whose agents and entries talk through relays.
+    ///
+    /// # Panics
+    /// When it does not come up within ten seconds.
+    pub async fn start_relayed(plan: Plan) -> Self {
+        Cluster::come_up(plan, true).await
+    }
+
+    async fn come_up(plan: Plan, relayed: bool) -> Self {
         let kv = Kv::default();
         let store = kv.serve().await;
         let mut cluster = Cluster {
@@ -122,6 +139,7 @@
             workers: Vec::new(),
             kv,
             plan,
+            relayed,
             client: Client::default(),
             store,
         };
@@ -232,6 +250,7 @@
             handle: None,
             runtime,
             target,
+            lines: None,
             servers,
         });
         self.restart_agent(self.workers.len() - 1).await;
@@ -242,7 +261,12 @@
     /// # Panics
     /// When no socket can be had.
     pub async fn restart_agent(&mut self, index: usize) {
-        let entries = self.entries.iter().map(|entry| entry.control.clone()).collect();
+        let mut entries: Vec<String> =
+            self.entries.iter().map(|entry| entry.control.clone()).collect();
+        let lines = if self.relayed { Some(Lines::start(&entries).await) } else { None };
+        if let Some(lines) = &lines {
+            entries = lines.up.iter().map(Relay::address).collect();
+        }
         let worker = &mut self.workers[index];
         let place = Place {
             name: worker.name.clone(),
@@ -259,7 +283,12 @@
             let Role::Agent(role) = &settings.role else { panic!("an agent") };
             agent::start(&settings, role).await.expect("a socket")
         };
-        worker.handle = Some(worker.process.run(start).await);
+        let handle = worker.process.run(start).await;
+        if let Some(lines) = &lines {
+            lines.lead(handle.address.to_string()).await;
+        }
+        worker.lines = lines;
+        worker.handle = Some(handle);
     }
 
     /// Calls an entry's administration API; `None` when it gives no answer.
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod check;
 pub mod cluster;
 pub mod history;
+pub mod lines;
 pub mod process;
