duty: the planner takes in an announcement once

Every tick turned the newest announcement of every worker, and the whole configuration, into events again. The duty now remembers the incarnation and sequence that it has of each worker, and builds the configuration on a new revision.

--- a/daemon/src/duty.rs
+++ b/daemon/src/duty.rs
@@ -58,6 +58,8 @@
     pub launches: JoinSet<()>,
     /// Where what runs beside the duty leaves its notes.
     pub notes: mpsc::UnboundedSender<Note>,
+    /// Incarnation and sequence of the newest announcement that the planner has of each worker.
+    pub heard: HashMap<String, (u64, u64)>,
     /// When ended members and forgotten attempts were last looked for.
     pub tidied: Millis,
     /// When the duty was taken.
@@ -136,6 +138,7 @@
         runs: HashMap::new(),
         launches: JoinSet::new(),
         notes,
+        heard: HashMap::new(),
         tidied: now,
         since: now,
         lease,
@@ -178,17 +181,28 @@
     let heard = core.members.iter().map(|member| member.frame.epoch).max();
     duty.lost |= heard.is_some_and(|heard| duty.epoch < heard);
     core.gangs.expire(now);
-    let reports: Vec<_> = core.members.iter().map(|member| member::report(&member.frame)).collect();
-    let fleet = config::fleet(&core.document);
+    let fresh = |member: &&member::Member| {
+        let word = (member.frame.incarnation, member.frame.sequence);
+        duty.heard.get(member.frame.worker.as_str()) != Some(&word)
+    };
+    let frames: Vec<_> = core.members.iter().filter(fresh).map(|one| one.frame.clone()).collect();
+    let changed = duty.planner.tables().revision != core.document.revision;
+    let fleet = changed.then(|| config::fleet(&core.document));
     drop(core);
-    if duty.planner.tables().revision != fleet.revision {
+    if let Some(fleet) = fleet {
         duty.planner.apply(now, Event::Configure(fleet));
     }
+    let mut reports = Vec::new();
+    for frame in frames {
+        reports.push(member::report(&frame));
+        duty.heard.insert(frame.worker, (frame.incarnation, frame.sequence));
+    }
     for report in reports {
         duty.planner.apply(now, Event::Announce(report));
     }
     for worker in lost {
         log::warn!("event=worker-lost worker={worker}");
+        duty.heard.remove(worker.as_str());
         duty.planner.apply(now, Event::Lose(worker));
     }
     while let Ok(note) = duty.inbox.try_recv() {
