agent: a planned stop waits for gang members, and what may run once is not moved

An agent that was stopped left its members to their leases, so a planned stop cut off work and its checkpoints; and a job that may not run again was stopped, and so lost, when its worker left or operators took its data centre out. The agent now waits up to ten seconds until its members are moved and on record; the planner's stop is waived for such a job unless a guarantee claims its accelerators. A fleet in one process stops its agents at once, so that nothing moves between leaving workers.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -104,6 +104,7 @@
         self.agent.changed.notify_one();
         time::sleep(LEAVE_GRACE).await;
         agent_service::drain(&self.agent).await;
+        agent_task::drain(&self.agent).await;
         let _ = self.stop.send(true);
         for task in self.tasks {
             let _ = task.await;
--- a/daemon/src/agent_task.rs
+++ b/daemon/src/agent_task.rs
@@ -32,6 +32,9 @@
 /// Time after which a call to the runtime that gave no answer is repeated.
 const REPEAT: Duration = Duration::from_millis(1000);
 
+/// Longest time that a stopping agent waits for its members.
+const DRAIN: Duration = Duration::from_secs(10);
+
 /// How a member ended.
 #[value]
 pub enum End {
@@ -173,6 +176,18 @@
     }
 }
 
+/// Waits until the planner has moved or recorded every member, or the stop's limit.
+pub async fn drain(agent: &Agent) {
+    let begun = clock::now();
+    while !agent.core().gang.standings().is_empty() {
+        if DRAIN <= clock::now().since(begun) {
+            log::warn!("event=drain-cut limit_ms={}", DRAIN.as_millis());
+            return;
+        }
+        time::sleep(TICK).await;
+    }
+}
+
 /// Stops what an earlier process of the agent left running, or outwaits its leases.
 async fn sweep(agent: &Agent) {
     let begun = clock::now();
--- a/daemon/src/duty_follow.rs
+++ b/daemon/src/duty_follow.rs
@@ -8,8 +8,10 @@
 use lavendergauge_lib::gang_watch::Order;
 use lavendergauge_lib::launch::Outcome;
 use lavendergauge_lib::life::Change;
+use lavendergauge_lib::life::Repeat;
 use lavendergauge_lib::name::Name;
 use lavendergauge_lib::planner::Action;
+use lavendergauge_lib::planner::Cause;
 use lavendergauge_lib::planner::Event;
 use lavendergauge_lib::shape::Seats;
 use lavendergauge_wire::announce::Phase;
@@ -278,10 +280,17 @@
         }
         Action::Stop { job, attempt, notice, cause } => {
             log::info!("event=stop-decided job={job} attempt={attempt} cause=\"{cause:?}\"");
-            if let Some(run) = duty.runs.get_mut(&job).filter(|run| run.stop.is_none()) {
-                let notice = if run.attempt.spec.checkpoints { notice } else { Duration::ZERO };
-                run.stop = Some((notice, format!("{cause:?}")));
+            let Some(run) = duty.runs.get_mut(&job).filter(|run| run.stop.is_none()) else {
+                return;
+            };
+            // What may not run again would be lost by a move that its owner has not asked for.
+            let moves = matches!(cause, Cause::DataCentreOut(_) | Cause::WorkerLeaving(_));
+            if moves && duty_run::repeat(&run.attempt.spec) == Repeat::Never {
+                log::info!("event=stop-waived job={job} attempt={attempt}");
+                return;
             }
+            let notice = if run.attempt.spec.checkpoints { notice } else { Duration::ZERO };
+            run.stop = Some((notice, format!("{cause:?}")));
         }
         Action::Refuse { job, reason } | Action::Fail { job, reason } => {
             log::info!("event=refuse job={job} reason=\"{reason}\"");
--- a/daemon/src/embedded.rs
+++ b/daemon/src/embedded.rs
@@ -25,6 +25,7 @@
 use lavendergauge_wire::job::Record;
 use serde_json::Value;
 use serde_json::json;
+use tokio::task::JoinSet;
 use tokio::time;
 
 use crate::agent;
@@ -449,11 +450,16 @@
 
     /// Stops every process gracefully.
     pub async fn stop(self) {
-        for worker in self.workers {
-            if let Some(agent) = worker.agent {
-                agent.stop().await;
+        // All leave at once, so that nothing moves from one leaving worker to another.
+        let mut agents = JoinSet::new();
+        let mut stand_ins = Vec::new();
+        for mut worker in self.workers {
+            if let Some(agent) = worker.agent.take() {
+                agents.spawn(agent.stop());
             }
+            stand_ins.push(worker);
         }
+        while agents.join_next().await.is_some() {}
         for entry in self.entries {
             entry.stop().await;
         }
--- a/daemon/tests/faults/gang_faults.rs
+++ b/daemon/tests/faults/gang_faults.rs
@@ -50,6 +50,26 @@
     assert_eq!(cluster.running(&id), 2);
 }
 
+#[tokio::test]
+async fn agent_stops() {
+    let mut cluster = Cluster::start(cluster::plan(1, &["zilina-1", "zilina-2"])).await;
+    let moved = cluster.submit(0, &cluster::gang(&json!({"checkpoints": true}))).await;
+    let seats = cluster.wait_state(&moved, SOON, State::Running).await.seats;
+    let once = cluster.submit(0, &cluster::gang(&json!({"payload": "run_ms=4000"}))).await;
+    let other = cluster.wait_state(&once, SOON, State::Running).await.seats;
+    for worker in [&other[0].worker, &seats[0].worker] {
+        let leaving = cluster.workers.iter_mut().find(|one| one.name == *worker).expect("it");
+        let handle = leaving.handle.take().expect("an agent");
+        leaving.process.run(handle.stop()).await;
+    }
+    let record = cluster.wait_state(&once, SOON, State::Done).await;
+    assert_eq!(record.attempt, 1, "what may run once runs to its end on a leaving worker");
+    cluster.wait_job(&moved, SOON, |record| record.state == State::Waiting).await;
+    assert_eq!(cluster.running(&moved), 0);
+    let record = cluster.job(&moved).await.expect("a record");
+    assert_eq!(record.checkpoints.len(), 2, "what moves keeps its checkpoints");
+}
+
 #[tokio::test]
 async fn agent_paused() {
     let cluster = Cluster::start(cluster::plan(1, &["zilina-1", "zilina-2"])).await;
