server: room for a burst of connections in the listen queue

The listeners took the default queue of 128; past it the kernel drops a peer's first packet and the peer tries again after a second, which is also the bound on connecting.

Change: listeners have a queue of 4096, the service's bound on connections. The test is back at 300 requests of 50 ms.

--- a/daemon/src/startup.rs
+++ b/daemon/src/startup.rs
@@ -6,6 +6,7 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 use lavendergauge_derive::value;
+use lavendergauge_net::server;
 use lavendergauge_net::tls::Acceptor;
 use lavendergauge_net::tls::Files;
 use lavendergauge_net::tls::Trust;
@@ -70,7 +71,7 @@
 /// # Errors
 /// [`Error::Listen`] when the address is taken or is not this machine's.
 pub async fn listen(address: &str) -> Result<TcpListener, Report<Error>> {
-    let listener = TcpListener::bind(address).await;
+    let listener = server::listen(address).await;
     listener.change_context_lazy(|| Error::Listen(address.to_owned()))
 }
 
--- a/daemon/tests/request_load.rs
+++ b/daemon/tests/request_load.rs
@@ -90,7 +90,7 @@
 async fn quiet_account_served() {
     let env = request_support::start(1, 1).await;
     let mut sent: Vec<(usize, Sent)> =
-        (0..100).map(|_| (0, Sent::default().header(WORK_HEADER, 100))).collect();
+        (0..300).map(|_| (0, Sent::default().header(WORK_HEADER, 50))).collect();
     let quiet = Sent { account: "brno", ..Sent::default() };
     sent.push((0, quiet.key("quiet").header(WORK_HEADER, 50)));
     let (env, results) = burst(env, sent).await;
--- a/net/src/server.rs
+++ b/net/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
@@ -40,6 +42,9 @@
 const FIRST_REQUEST: Duration = Duration::from_millis(500);
 /// Time for which connections that peers have already opened are taken in after the stop.
 const LAST_ACCEPT: Duration = Duration::from_millis(20);
+/// Connections that wait to be accepted; past it the kernel drops a peer's first packet, and the
+/// peer tries again after a whole second.
+const LISTEN_QUEUE: u32 = 4096;
 /// Pause after a failed accept, such as for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -49,6 +54,18 @@
 /// A function that answers one request from one peer.
 pub type Handler = Arc<dyn Fn(Request<Incoming>, SocketAddr) -> Answer + Send + Sync>;
 
+/// Listens on an address, with room for a burst of peers that have not been accepted yet.
+///
+/// # Errors
+/// When the address is not one, is taken, or is not this machine's.
+pub async fn listen(address: &str) -> io::Result<TcpListener> {
+    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_QUEUE)
+}
+
 /// Serves connections without TLS; see [`serve_tls`].
 pub async fn serve(
     listener: TcpListener,
