outcome: an unclaimed key is in doubt, not refused

Cause: asking for a key without a claim said not-run, though a claim lapses with its lease and the request may have run before. The answer is still 404, with the outcome unknown. The new test fails before the change and passes after it.

--- a/daemon/src/entry_outcome.rs
+++ b/daemon/src/entry_outcome.rs
@@ -74,6 +74,16 @@
     }
 }
 
+/// Says that no claim of a key stands: it was never made, or it has lapsed with its lease.
+fn unclaimed(key: &str) -> Refusal {
+    Box::new(problem::detail(
+        StatusCode::NOT_FOUND,
+        "not found",
+        lavendergauge_wire::problem::Outcome::Unknown,
+        format!("the key `{key}` was never claimed, or its claim has lapsed"),
+    ))
+}
+
 fn doubt(text: &str) -> Refusal {
     let status = StatusCode::CONFLICT;
     Box::new(problem::detail(
@@ -102,7 +112,7 @@
     let item = entry.store.load(&entry_claim::name(account, key)).await;
     let held = match item.as_ref().map(|item| item.as_ref().map(entry_claim::read)) {
         Ok(Some(Ok(held))) => held,
-        Ok(None) => return Err(api::missing("request", key)),
+        Ok(None) => return Err(unclaimed(key)),
         _ => return Err(doubt("the store gives no answer")),
     };
     let address = held.claim.address.clone();
--- a/daemon/tests/request_outcome.rs
+++ b/daemon/tests/request_outcome.rs
@@ -90,6 +90,15 @@
     problem(&fetch(env, entry, &format!("/v1/outcomes/{key}{more}")).await)
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn unclaimed_key() {
+    let env = request_support::start(1, 1).await;
+    let answer = fetch(&env, 0, "/v1/outcomes/never-given").await;
+    assert_eq!(answer.status(), StatusCode::NOT_FOUND);
+    assert_eq!(problem(&answer)["outcome"], "unknown", "a claim may have lapsed");
+    env.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn agent_replaced() {
     let mut env = request_support::start(1, 1).await;
