--- a/lib/src/drain.rs
+++ b/lib/src/drain.rs
@@ -32,17 +32,13 @@
 /// Urgent jobs for which space drains at a time, at most.
 const MOST_URGENT: usize = 64;
 /// Time that each accelerator of a job that leaves counts for, in the choice among workers.
-const YIELD_COST: Duration = Duration::from_secs(1);
-/// Accelerators from which a job that leaves counts as a large one.
-const LARGE: u32 = 8;
-/// Time that a large job which leaves counts for, in the choice among workers.
-const LARGE_YIELD_COST: Duration = Duration::from_secs(600);
+const YIELD_COST: Duration = Duration::from_secs(60);
 /// Run time that an urgent job may cost one that is run again from its start.
 const SACRIFICE: Duration = Duration::from_secs(60);
 /// Multiple of the bound for patient jobs.
 const PATIENT: u32 = 4;
 /// Part of the bound for urgent jobs, as a divisor.
-const URGENT: u32 = 240;
+const URGENT: u32 = 120;
 /// Multiple of the bound after which checkpointed jobs leave.
 const ESCALATE: u32 = 2;
 /// Time that a checkpointed job runs before it leaves for a long wait.
@@ -205,9 +201,7 @@
         return tables.policy.notice;
     }
     if yields(now, class, row) {
-        let total = row.shape.total();
-        let cost = if LARGE <= total { LARGE_YIELD_COST } else { YIELD_COST * total };
-        return tables.policy.notice + cost;
+        return tables.policy.notice + YIELD_COST * row.shape.total();
     }
     tables.estimates.remaining(row, row.run_time(now), QUANTILE).unwrap_or(UNKNOWN)
 }
--- a/lib/src/planner.rs
+++ b/lib/src/planner.rs
@@ -36,7 +36,7 @@
 /// Time beyond the notice and the lease after which an attempt that is not heard of has stopped.
 const LEASE_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which jobs past their bound are given space to drain.
-const DRAIN_EVERY: Duration = Duration::from_millis(500);
+const DRAIN_EVERY: Duration = Duration::from_secs(1);
 /// Interval at which one worker may be emptied so that it is free as a whole.
 const COMPACT_EVERY: Duration = Duration::from_secs(10);
 
