config: entries ask for the configuration's version, and read its value only when it changed

Each entry read the whole value twice a second to rest its permits on; at 580 client accounts that is hundreds of kilobytes a second an entry.

Change: the question asks for the key without its value, and the value is read when the version is another one. The permit rests on the moment before the question, as before.

The number of calls stays. Given up: a store restored so that another value stands at the very same version is seen by the watch only.

--- a/daemon/src/config_sync.rs
+++ b/daemon/src/config_sync.rs
@@ -42,12 +42,28 @@
     }
 }
 
-/// Reads the configuration once, and takes in what the store holds.
+/// Asks the store once for the configuration, and takes in what it holds.
+///
+/// The value is read only if its version is not the known one, since it can have hundreds of
+/// kilobytes and every entry asks twice a second.
 ///
 /// # Errors
 /// When the store gives no usable answer, or holds something that cannot be read.
 pub async fn read(entry: &Entry) -> Result<(), store::Error> {
     let asked = clock::now();
+    let known = entry.core().view.version();
+    if known == 0 || entry.store.version(CONFIG_KEY).await? != Some(known) {
+        load(entry).await?;
+    }
+    let mut core = entry.core();
+    if core.view.is_stored() && core.view.envelope().is_some() {
+        core.view.confirm(asked);
+    }
+    Ok(())
+}
+
+/// Reads the configuration's value and takes it in.
+async fn load(entry: &Entry) -> Result<(), store::Error> {
     let item = entry.store.load(CONFIG_KEY).await?;
     fail::fail_point!("config_read");
     if let Some(item) = &item
@@ -56,10 +72,6 @@
         return Err(store::Error::Malformed(error.to_string()));
     }
     entry.learn_item(item.as_ref());
-    let mut core = entry.core();
-    if core.view.is_stored() && core.view.envelope().is_some() {
-        core.view.confirm(asked);
-    }
     Ok(())
 }
 
--- a/daemon/src/store.rs
+++ b/daemon/src/store.rs
@@ -120,6 +120,16 @@
         Ok(items(&self.read(Class::of(key), &request).await?)?.pop())
     }
 
+    /// Reads the version of one key without its value; `None` when the key does not exist.
+    ///
+    /// # Errors
+    /// When the store gives no usable answer.
+    pub async fn version(&self, key: &str) -> Result<Option<i64>, Error> {
+        let request = json!({"key": encode(key), "keys_only": true});
+        let item = items(&self.read(Class::of(key), &request).await?)?.pop();
+        Ok(item.map(|item| item.version))
+    }
+
     /// Reads all keys that begin with a prefix.
     ///
     /// # Errors
--- a/daemon/tests/config_agree.rs
+++ b/daemon/tests/config_agree.rs
@@ -10,9 +10,13 @@
 use lavendergauge_daemon::settings::Role;
 use lavendergauge_daemon::settings::Settings;
 use lavendergauge_fakes::kv::Fault;
+use lavendergauge_wire::codec;
 use serde_json::Value;
 use serde_json::json;
+use tokio::time;
 
+/// Time in which nothing changes.
+const QUIET: Duration = Duration::from_secs(2);
 const LIMIT: Duration = Duration::from_secs(5);
 /// Bound on a revision being in force everywhere here.
 const IN_FORCE: Duration = Duration::from_secs(2);
@@ -111,3 +115,21 @@
     let confirmed = get(&fleet, taught, "/v1/config/status").await["confirmed_ms"].clone();
     assert!(confirmed.as_u64().is_some_and(|age| age <= 2500), "{confirmed}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn quiet_reads_small() {
+    let fleet = embedded::start(&Plan::default()).await.expect("fleet starts");
+    let names: Vec<String> = (0..100).map(|index| format!("team-{index}")).collect();
+    let accounts: Vec<(&str, Value)> =
+        names.iter().map(|name| (name.as_str(), json!([]))).collect();
+    let operations = embedded::set_up(&accounts, &["zilina-1", "zilina-2"]);
+    let document = fleet.change("teams", operations).await.expect("accepted");
+    fleet.wait_in_force(document.revision, LIMIT).await.expect("in time");
+    time::sleep(QUIET).await;
+    let before = fleet.kv.read_bytes();
+    time::sleep(QUIET).await;
+    let read = fleet.kv.read_bytes() - before;
+    let whole = codec::to_json(&document).expect("JSON").len() as u64;
+    println!("{read} bytes read in {QUIET:?}; the document has {whole}");
+    assert!(read < whole, "an unchanged configuration is not read again");
+}
--- a/fakes/src/kv.rs
+++ b/fakes/src/kv.rs
@@ -81,6 +81,7 @@
     next_lease: i64,
     pub(crate) fault: Fault,
     calls: HashMap<String, u64>,
+    read_bytes: u64,
     pub(crate) log: VecDeque<Event>,
     /// First revision that a watch can start from.
     pub(crate) compacted: i64,
@@ -164,6 +165,11 @@
         self.lock().calls.clone()
     }
 
+    /// Returns the bytes of all values that were read, as they travel.
+    pub fn read_bytes(&self) -> u64 {
+        self.lock().read_bytes
+    }
+
     /// Returns the revision of the newest change.
     pub fn revision(&self) -> i64 {
         self.lock().revision
@@ -207,7 +213,11 @@
         }
         let before = state.revision;
         let answer = match call.path.as_str() {
-            "/v3/kv/range" => range(&state, &call.json()),
+            "/v3/kv/range" => {
+                let answer = range(&state, &call.json());
+                state.read_bytes += value_bytes(&answer);
+                answer
+            }
             "/v3/kv/txn" => txn(&mut state, &call.json()),
             "/v3/lease/grant" => grant(&mut state, &call.json()),
             "/v3/lease/keepalive" => keepalive(&mut state, &call.json()),
@@ -283,6 +293,12 @@
     })
 }
 
+/// Returns the length of the values in a range's answer, as they travel.
+fn value_bytes(answer: &Value) -> u64 {
+    let entries = answer["kvs"].as_array().map(Vec::as_slice).unwrap_or_default();
+    entries.iter().filter_map(|entry| entry["value"].as_str()).map(|text| text.len() as u64).sum()
+}
+
 fn range(state: &State, request: &Value) -> Value {
     let key = octets(&request["key"]);
     let end = octets(&request["range_end"]);
@@ -298,6 +314,9 @@
         .filter(|(_, entry)| oldest <= entry.modified)
         .map(|(known, entry)| entry_json(known, entry))
         .collect();
+    if request["keys_only"] == true {
+        entries.iter_mut().for_each(|entry| entry["value"] = json!(""));
+    }
     let count = entries.len();
     entries.truncate(limit);
     json!({"header": header(state), "count": count.to_string(), "more": limit < count,
