body: the rest of a request that is too long is read before the refusal

The entry closed the connection while the caller was still writing, and the reset overtook the answer. Change: at most 8 MB or one second of the rest is read for nobody.

--- a/daemon/src/entry_control.rs
+++ b/daemon/src/entry_control.rs
@@ -63,7 +63,7 @@
         let core = entry.core();
         access::identify(&entry.access, &core.document, &head.headers, clock::wall_ms())?
     };
-    let body = body::collect(body, REQUEST_LIMIT).await.map_err(|_| too_long())?;
+    let body = body::receive(body, REQUEST_LIMIT).await.map_err(|_| too_long())?;
     let call = Call { entry, caller, head, body, names };
     api_route::carry_out(&route.operation, &call).await
 }
@@ -74,7 +74,7 @@
     if !access::is_fleet(&entry.access, &head.headers) {
         return problem::response(&access::foreign());
     }
-    let Ok(body) = body::collect(body, REQUEST_LIMIT).await else {
+    let Ok(body) = body::receive(body, REQUEST_LIMIT).await else {
         return problem::response(&too_long());
     };
     match head.uri.path() {
--- a/net/src/body.rs
+++ b/net/src/body.rs
@@ -1,6 +1,8 @@
 //! Bodies of requests and responses.
 
 use std::error::Error as StdError;
+use std::pin::pin;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -10,6 +12,7 @@
 use http_body_util::channel::Sender;
 use http_body_util::combinators::BoxBody;
 use hyper::body::Body as HttpBody;
+use tokio::time;
 
 /// Any error while a body is read.
 pub type Cause = Box<dyn StdError + Send + Sync>;
@@ -53,6 +56,37 @@
     (sender, body.boxed())
 }
 
+/// Most bytes of a body's rest that are read for nobody.
+const DISCARD_BYTES: usize = 8 << 20;
+/// Longest time for which a body's rest is read for nobody.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
+/// Reads a whole request's body of at most `limit` bytes, and the rest of a longer one for nobody.
+///
+/// A peer that is still writing when the connection closes may lose the answer that says why, so
+/// a bounded part of the rest is read before the answer goes out.
+///
+/// # Errors
+/// As [`collect`].
+///
+/// ```
+/// use lavendergauge_net::body;
+/// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+/// assert!(runtime.block_on(body::receive(body::full("longer"), 3)).is_err());
+/// ```
+pub async fn receive<B>(body: B, limit: usize) -> Result<Bytes, Cause>
+where
+    B: HttpBody<Data = Bytes>,
+    B::Error: Into<Cause>,
+{
+    let mut body = pin!(body);
+    let whole = collect(body.as_mut(), limit).await;
+    if whole.is_err() {
+        let _ = time::timeout(DISCARD_TIME, collect(body, DISCARD_BYTES)).await;
+    }
+    whole
+}
+
 /// Reads a whole body of at most `limit` bytes.
 ///
 /// # Errors
