--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod duty_keeper;
 pub mod duty_run;
 pub mod embedded;
+pub mod embedded_text;
 pub mod entry;
 pub mod entry_answer;
 pub mod entry_call;
