--- a/daemon/tests/tls_fleet.rs
+++ b/daemon/tests/tls_fleet.rs
@@ -1,9 +1,5 @@
 //! A fleet whose processes speak TLS with one another and with callers.
 
-use std::env;
-use std::fs;
-use std::path::PathBuf;
-use std::process;
 use std::time::Duration;
 
 use hyper::Method;
@@ -23,11 +19,7 @@
 use lavendergauge_net::client::Client;
 use lavendergauge_net::client::Options;
 use lavendergauge_net::tls::Trust;
-use rcgen::BasicConstraints;
-use rcgen::CertificateParams;
-use rcgen::CertifiedIssuer;
-use rcgen::IsCa;
-use rcgen::KeyPair;
+use lavendergauge_testutils::certificate::Folder;
 use serde_json::Value;
 use serde_json::json;
 use tokio::time;
@@ -37,41 +29,9 @@
 /// Tries until the agent is known and has a permit.
 const TRIES: u32 = 100;
 
-/// A folder with the fleet's certificate, which is removed at the end of the test.
-struct Folder(PathBuf);
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.0);
-    }
-}
-
-impl Folder {
-    fn new() -> Self {
-        let path = env::temp_dir().join(format!("lavendergauge-fleet-{}", process::id()));
-        fs::create_dir_all(&path).expect("folder");
-        let mut params = CertificateParams::new(Vec::new()).expect("parameters");
-        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-        let key = KeyPair::generate().expect("key");
-        let authority = CertifiedIssuer::self_signed(params, key).expect("authority");
-        let key = KeyPair::generate().expect("key");
-        let params = CertificateParams::new(vec!["127.0.0.1".to_owned()]).expect("parameters");
-        let own = params.signed_by(&key, &authority).expect("certificate");
-        fs::write(path.join("authority.pem"), authority.pem()).expect("write");
-        fs::write(path.join("own.pem"), own.pem()).expect("write");
-        fs::write(path.join("own.key"), key.serialize_pem()).expect("write");
-        Folder(path)
-    }
-
-    /// Adds the section on TLS to a settings file.
-    fn settings(&self, text: &str) -> settings::Settings {
-        let path = self.0.display();
-        let tls = format!(
-            "[tls]\ncertificate = {path}/own.pem\nkey = {path}/own.key\n\
-             authority = {path}/authority.pem\n"
-        );
-        settings::parse(&format!("{text}{tls}")).expect("good settings")
-    }
+/// Reads a settings file with the section on TLS.
+fn secured(folder: &Folder, text: &str) -> settings::Settings {
+    settings::parse(&format!("{text}{}", folder.section())).expect("good settings")
 }
 
 async fn post(client: &Client, uri: String, body: &Value) -> Result<(u16, String), String> {
@@ -88,12 +48,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn request_secured() {
-    let folder = Folder::new();
+    let folder = Folder::new("fleet");
     let (kv, runtime, target) = (Kv::default(), Runtime::default(), Target::default());
     let servers = [kv.serve().await, runtime.serve().await, target.serve().await];
     let plan = Plan::default();
     let text = embedded::entry_text(&plan, "entry-1", "zilina-1", &servers[0].address());
-    let settings = folder.settings(&text);
+    let settings = secured(&folder, &text);
     let Role::Entry(role) = &settings.role else { panic!("an entry") };
     let entry = entry::start(&settings, role).await.expect("entry starts");
     let place = Place {
@@ -104,11 +64,11 @@
         target_address: servers[2].address(),
         runtime_address: servers[1].address(),
     };
-    let settings = folder.settings(&embedded::agent_text(&plan, &place));
+    let settings = secured(&folder, &embedded::agent_text(&plan, &place));
     let Role::Agent(role) = &settings.role else { panic!("an agent") };
     let agent = agent::start(&settings, role).await.expect("agent starts");
 
-    let trust = Trust::load(folder.0.join("authority.pem")).expect("authority");
+    let trust = Trust::load(folder.authority()).expect("authority");
     let client = Client::with_trust(Options::default(), Some(trust));
     let operations = embedded::set_up(&[("brno", json!([]))], &["zilina-1"]);
     let change = json!({"id": "tls", "base": 0, "operations": operations});
