--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -87,6 +87,8 @@
     pub list: Option<List>,
     /// Incarnation of the worker, and number of the newest end that it may forget.
     pub forget: (u64, u64),
+    /// Whether orders were carried out since the worker was last asked what it runs.
+    pub ordered: bool,
 }
 
 /// An agent.
@@ -224,6 +226,7 @@
             worker_clock: None,
             list: None,
             forget: (0, 0),
+            ordered: false,
         }),
     });
     log::info!(
@@ -418,6 +421,7 @@
             }
         }
     }
+    agent.core().ordered = true;
     agent.nudge.notify_one();
     peer::answer(&Answers { answers })
 }
--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -30,10 +30,12 @@
     forget: u64,
     wait: Duration,
     ends: bool,
+    ordered: bool,
 }
 
 fn question(agent: &Agent) -> Option<Question> {
-    let core = agent.core();
+    let mut core = agent.core();
+    let ordered = std::mem::take(&mut core.ordered);
     let worker = core.worker.as_ref().filter(|_| core.fence != 0)?;
     let (incarnation, number) = core.forget;
     let list = core.list.as_ref();
@@ -41,6 +43,8 @@
         // The first call is answered at once: it tells the worker's clock.
         None => Duration::ZERO,
         Some(list) if list.fence != core.fence => Duration::ZERO,
+        // The planner waits to hear what became of its orders.
+        Some(_) if ordered => Duration::ZERO,
         Some(list) if list.running.is_empty() => WAIT_IDLE,
         Some(_) => WAIT_BUSY,
     };
@@ -51,6 +55,7 @@
         forget: if incarnation == worker.incarnation { number } else { 0 },
         wait,
         ends: list.is_some_and(|list| !list.ends.is_empty()),
+        ordered,
     })
 }
 
@@ -91,6 +96,7 @@
                 time::sleep(PAUSE_FAILED).await;
             }
             Err(error) => {
+                agent.core().ordered |= question.ordered;
                 if !lost {
                     lost = true;
                     let cause = error.to_string();
@@ -130,7 +136,7 @@
         running: look.running,
         ends: look.ends,
     };
-    let news = core.list.as_ref().is_none_or(|before| differs(before, &list));
+    let news = question.ordered || core.list.as_ref().is_none_or(|before| differs(before, &list));
     core.list = Some(list);
     drop(core);
     if news {
--- a/daemon/src/batch/follow.rs
+++ b/daemon/src/batch/follow.rs
@@ -11,6 +11,7 @@
 use lavendergauge_lib::batch::order::Order;
 use lavendergauge_lib::batch::order::Verb;
 use lavendergauge_lib::batch::tick::Dispatch;
+use lavendergauge_net::client;
 use lavendergauge_platform::store::Event;
 use lavendergauge_platform::store::Item;
 use lavendergauge_platform::store::Watched;
@@ -145,6 +146,10 @@
                 log::warn!("event=agent-foreign worker={node} found={}", report.node);
                 time::sleep(POLL_WAIT).await;
             }
+            Err(client::Error::Status { status: 409, .. }) => {
+                tenure.deposed.notify_one();
+                time::sleep(PAUSE).await;
+            }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
                     let cause = error.to_string();
--- a/daemon/src/batch/lead.rs
+++ b/daemon/src/batch/lead.rs
@@ -19,6 +19,7 @@
 use lavendergauge_wire::codec;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::Notify;
 use tokio::time;
 
 use crate::batch::entry::Entry;
@@ -64,6 +65,8 @@
     pub revision: u64,
     /// Revision of the chain's key.
     pub chain: u64,
+    /// Tells that an agent knows a higher fencing token.
+    pub deposed: Notify,
     lease: u64,
     sure_until: AtomicU64,
 }
@@ -83,8 +86,9 @@
 /// Watches the duty, takes it when nobody holds it, and plans while this entry does.
 pub async fn follow(entry: Arc<Entry>) {
     loop {
-        let found = match entry.store.read(keys::LEAD, DEADLINE).await {
-            Ok(found) => found,
+        // A list tells the store's revision too; the key's own may be older than the history.
+        let (found, revision) = match entry.store.list(keys::LEAD, DEADLINE).await {
+            Ok((items, revision)) => (items.into_iter().next(), revision),
             Err(error) => {
                 log::debug!("event=lead-unknown cause={}", Value(&error.to_string()));
                 time::sleep(PAUSE).await;
@@ -94,7 +98,7 @@
         match found {
             Some(item) => {
                 note(&entry, &item);
-                wait_for_end(&entry.store, item.revision).await;
+                wait_for_end(&entry.store, revision).await;
             }
             None if *entry.stopping.borrow() => time::sleep(PAUSE).await,
             None => match take(&entry).await {
@@ -135,8 +139,13 @@
                 return;
             }
             Ok(Watched::Events(events, at)) if events.is_empty() => revision = at,
-            Ok(_) => return,
-            Err(_) => {
+            Ok(Watched::Events(..)) => return,
+            Ok(Watched::Compacted) => {
+                time::sleep(PAUSE).await;
+                return;
+            }
+            Err(error) => {
+                log::debug!("event=watch-failed cause={}", Value(&error.to_string()));
                 time::sleep(PAUSE).await;
                 return;
             }
@@ -174,8 +183,14 @@
             return Err(error);
         }
     };
-    let tenure =
-        Tenure { fence: revision, revision, chain: revision, lease, sure_until: AtomicU64::new(0) };
+    let tenure = Tenure {
+        fence: revision,
+        revision,
+        chain: revision,
+        deposed: Notify::new(),
+        lease,
+        sure_until: AtomicU64::new(0),
+    };
     tenure.confirm(asked);
     entry.leader.send_replace(Some(leader));
     Ok(Some(tenure))
@@ -188,6 +203,7 @@
     let cause = tokio::select! {
         cause = renew(entry, &tenure) => cause,
         cause = planner::run(entry, &tenure) => cause,
+        () = tenure.deposed.notified() => "an agent follows a newer planner",
         _ = stopping.wait_for(|stopping| *stopping) => "process stops",
     };
     entry.set_planner(None);
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use lavendergauge_derive::row;
+use lavendergauge_derive::token;
 use lavendergauge_derive::value;
 
 use crate::batch::job::Id;
@@ -251,18 +252,45 @@
         } else {
             place_tasks(tables, now, &mut space, candidate, &step, notes)
         };
-        if placed {
-            tables.claims.remove(&candidate.part);
-            continue;
-        }
-        if let Some(claim) = tables.claims.get(&candidate.part) {
+        let claim = match placed {
+            Placed::All => {
+                tables.claims.remove(&candidate.part);
+                continue;
+            }
+            // What was kept for all of them is too much for the rest.
+            Placed::Some => {
+                tables.claims.remove(&candidate.part);
+                None
+            }
+            Placed::None => tables.claims.get(&candidate.part),
+        };
+        if let Some(claim) = claim {
             space.keep(&step, &claim.spots);
             continue;
         }
-        make_room(tables, now, &mut space, candidate, &step, notes);
+        let rest = waiting_of(tables, candidate);
+        make_room(tables, now, &mut space, &rest, &step, notes);
     }
 }
 
+/// How much of what waits was placed.
+#[token]
+enum Placed {
+    None,
+    Some,
+    All,
+}
+
+/// Returns a candidate with the tasks that still wait.
+fn waiting_of(tables: &Tables, candidate: &Candidate) -> Candidate {
+    let waits = |index: &u32| {
+        let task = Task { part: candidate.part, index: *index };
+        tables.work(task).is_some_and(|work| !work.done && work.live.is_none())
+    };
+    let waiting = candidate.waiting.iter().copied().filter(waits).collect();
+    Candidate { waiting, ..candidate.clone() }
+}
+
 /// Returns the workers that a step may go to now, those in good standing unless there are none.
 fn pool(tables: &Tables, now: Millis, candidate: &Candidate, step: &Step) -> Vec<key::Worker> {
     let all = place::eligible(tables, now, candidate.part, step);
@@ -310,7 +338,7 @@
     candidate: &Candidate,
     step: &Step,
     notes: &mut Vec<Note>,
-) -> bool {
+) -> Placed {
     let pool = pool(tables, now, candidate, step);
     let (groups, slows) = place::near(tables, &pool, step);
     let part = candidate.part;
@@ -320,8 +348,8 @@
         near = false;
         spots = place::gang(space, part, step, std::slice::from_ref(&pool));
     }
-    let Some(spots) = spots else { return false };
-    let Some(works) = works(tables, part) else { return false };
+    let Some(spots) = spots else { return Placed::None };
+    let Some(works) = works(tables, part) else { return Placed::None };
     let number = works.iter().map(|work| work.run).max().unwrap_or(0) + 1;
     let mut index = 0;
     for (worker, count) in spots {
@@ -333,10 +361,10 @@
             index += 1;
         }
     }
-    true
+    Placed::All
 }
 
-/// Places as many tasks as there is room for; true when none waits any more.
+/// Places as many tasks as there is room for.
 fn place_tasks(
     tables: &mut Tables,
     now: Millis,
@@ -344,11 +372,12 @@
     candidate: &Candidate,
     step: &Step,
     notes: &mut Vec<Note>,
-) -> bool {
+) -> Placed {
     let pool = pool(tables, now, candidate, step);
     let (groups, slows) = place::near(tables, &pool, step);
     let far = !slows || may_go_far(tables, now, candidate, step, &groups);
     let part = candidate.part;
+    let mut placed_any = Placed::None;
     for index in &candidate.waiting {
         let task = Task { part, index: *index };
         let one = Step { tasks: 1, ..step.clone() };
@@ -359,14 +388,15 @@
             spots = place::gang(space, part, &one, std::slice::from_ref(&pool));
         }
         let Some((worker, _)) = spots.and_then(|spots| spots.first().copied()) else {
-            return false;
+            return placed_any;
         };
+        placed_any = Placed::Some;
         space.take(part, worker, step, 1);
         let number = tables.work(task).map_or(1, |work| work.run + 1);
         start(tables, now, task, number, worker);
         notes.push(placed(tables, task, number, worker, pool.len(), near));
     }
-    true
+    Placed::All
 }
 
 fn works(tables: &Tables, part: Part) -> Option<&Vec<Work>> {
