--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -1,5 +1,7 @@
 //! Takes the reports of agents in: which worker stands beside them, what runs there, what ended.
 
+use std::time::Duration;
+
 use lavendergauge_derive::value;
 use serde::Deserialize;
 use serde::Serialize;
@@ -38,6 +40,8 @@
     pub memory_mb: u64,
     /// Whether it takes new work.
     pub ready: bool,
+    /// Least time for which a worker that takes no new work stays, in milliseconds.
+    pub leaves_ms: u64,
 }
 
 /// How a run ended.
@@ -146,7 +150,7 @@
     let mut changes = Vec::new();
     let first_bound = tables.took_over + table::takeover_bound();
     let key = tables.worker_at(&report.node, first_bound);
-    announced(tables, key, report, &mut changes);
+    announced(tables, now, key, report, &mut changes);
     if report.over != 0 {
         let over = report.over;
         over_where(tables, key, &mut changes, "worker is over", |run| run.incarnation <= over);
@@ -170,12 +174,15 @@
     // lies before the report came by at least as much as the agent says.
     let age = report.clock.saturating_sub(list.asked);
     let asked = Millis(now.0.saturating_sub(age));
-    worker.over = worker.over.max(asked + table::grant_bound());
+    let bound = asked + table::grant_bound();
+    // Whatever an earlier planner granted rests on an earlier question, so that its bound, which
+    // was not known before this list, lies before this one's.
+    worker.over = if worker.heard.is_none() { bound } else { worker.over.max(bound) };
     worker.heard = Some(asked);
     worker.granted = list.asked + table::GRANT.as_millis() as u64;
     ends(tables, now, key, list, &mut changes);
     rows(tables, now, key, list, &mut changes);
-    absences(tables, now, key, list, &mut changes);
+    absences(tables, key, list, &mut changes);
     changes
 }
 
@@ -189,7 +196,13 @@
     }
 }
 
-fn announced(tables: &mut Tables, key: key::Worker, report: &Report, changes: &mut Vec<Change>) {
+fn announced(
+    tables: &mut Tables,
+    now: Millis,
+    key: key::Worker,
+    report: &Report,
+    changes: &mut Vec<Change>,
+) {
     let worker = &mut tables.workers[key];
     let Some(word) = &report.worker else {
         if worker.ready {
@@ -224,7 +237,13 @@
         processors: word.processors,
         memory_mb: word.memory_mb,
     };
+    if worker.ready || another {
+        worker.leaves = None;
+    }
     worker.ready = word.ready;
+    if !word.ready && worker.leaves.is_none() {
+        worker.leaves = Some(now + Duration::from_millis(word.leaves_ms));
+    }
     if another {
         let incarnation = word.incarnation;
         over_where(tables, key, changes, "worker restarted", |run| run.incarnation < incarnation);
@@ -431,14 +450,7 @@
 }
 
 /// A run that a list lacks is over, if the list was asked for after its order was settled.
-fn absences(
-    tables: &mut Tables,
-    now: Millis,
-    key: key::Worker,
-    list: &List,
-    changes: &mut Vec<Change>,
-) {
-    let _ = now;
+fn absences(tables: &mut Tables, key: key::Worker, list: &List, changes: &mut Vec<Change>) {
     for task in tables.live() {
         let Some(work) = tables.work_mut(task) else { continue };
         let Some(run) = &work.live else { continue };
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -66,6 +66,8 @@
     Preempted,
     /// It makes no progress.
     Stuck,
+    /// Its worker leaves before it can end.
+    Leaving,
     /// Whether it started is not known.
     Doubt,
     /// Another run of the task is done.
@@ -85,6 +87,7 @@
             Cause::Gang => "gang-broken",
             Cause::Preempted => "preempted",
             Cause::Stuck => "no-progress",
+            Cause::Leaving => "worker-leaves",
             Cause::Doubt => "start-in-doubt",
             Cause::Surplus => "task-done",
         }
@@ -240,6 +243,8 @@
     pub capacity: Room,
     /// Whether it takes new work.
     pub ready: bool,
+    /// Until when a worker that takes no new work stays for certain.
+    pub leaves: Option<Millis>,
     /// When it was last asked what runs there and answered, under this planner's fencing token.
     pub heard: Option<Millis>,
     /// When nothing can run on it any more unless it is heard of again.
@@ -363,6 +368,7 @@
             labels: Vec::new(),
             capacity: Room::default(),
             ready: false,
+            leaves: None,
             heard: None,
             over,
             agent_clock: 0,
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -43,6 +43,9 @@
 const CLAIM_KEPT: Duration = Duration::from_millis(2500);
 /// Time for which space is kept for a large step while others run to their end.
 const DRAIN_KEPT: Duration = Duration::from_secs(20);
+/// Time beyond its word for which a leaving worker may well stay; work that is not saved at a stop
+/// is left there if it could end in it.
+const LEAVE_SLACK_MS: u64 = 1500;
 /// Time that a step waits in vain before space is kept for it.
 const DRAIN_AFTER: Duration = Duration::from_secs(3);
 /// Most steps for which space is kept while others run to their end.
@@ -95,6 +98,7 @@
     judge(tables, wall_ms, &mut notes);
     unwanted(tables, &mut notes);
     stuck(tables, now, &mut notes);
+    move_away(tables, now, &mut notes);
     place_all(tables, now, &mut notes);
     notes
 }
@@ -230,6 +234,26 @@
     }
 }
 
+/// Stops runs that cannot end before their worker leaves, so that they go on elsewhere sooner.
+fn move_away(tables: &mut Tables, now: Millis, notes: &mut Vec<Note>) {
+    for task in tables.live() {
+        let Some(step) = tables.step(task.part).cloned() else { continue };
+        let Some(run) = tables.work(task).and_then(|work| work.live.as_ref()) else { continue };
+        let Some(leaves) = tables.workers.get(run.worker).and_then(|w| w.leaves) else { continue };
+        let need = left_ms(&step, run, now);
+        let stays = leaves.since(now).as_millis() as u64;
+        let patience = if step.checkpoints { 0 } else { LEAVE_SLACK_MS };
+        if run.phase != Phase::Running || run.seen.is_none() || need <= stays + patience {
+            continue;
+        }
+        notes.push(Note::Stopped(task, run.number, Cause::Leaving.word()));
+        if let Some(work) = tables.work_mut(task) {
+            load::stop(work, Cause::Leaving);
+        }
+        observe::break_gang(tables, task);
+    }
+}
+
 /// Places what waits, the most pressing first.
 fn place_all(tables: &mut Tables, now: Millis, notes: &mut Vec<Note>) {
     let kept = |claim: &Claim| if claim.guaranteed { CLAIM_KEPT } else { DRAIN_KEPT };
--- /dev/null
+++ b/lib/tests/batch_load.rs
@@ -0,0 +1,105 @@
+//! What callers get under load: guarantees in time, no starving, no service for the hopeless.
+
+mod batch_play;
+
+use batch_play::Play;
+use batch_play::step;
+use lavendergauge_lib::batch::job::Id;
+use lavendergauge_lib::batch::job::Step;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Time in which a guaranteed job must have started all its tasks.
+const RECLAIM_MS: u64 = 2900;
+
+fn sizes(rng: &mut SmallRng) -> u32 {
+    [1, 2, 4, 8, 8][rng.random_range(0..5)]
+}
+
+/// Plays half a minute of mixed jobs at a load; returns the guaranteed jobs.
+fn mixed(play: &mut Play, rng: &mut SmallRng, seconds: u64, large_each_ms: u64) -> Vec<Id> {
+    let mut guaranteed = Vec::new();
+    let mut pressing: Option<Id> = None;
+    for tick in 0..seconds * 10 {
+        let at = tick * 100;
+        if at % large_each_ms == 0 {
+            let accelerators = sizes(rng);
+            let width = rng.random_range(1..4);
+            let work = rng.random_range(4000..9000);
+            let gang = Step { gang: true, ..step(width, accelerators, work) };
+            play.hand_in("plain", "praha", vec![gang], work);
+        }
+        if at % 6000 == 0 {
+            let patient = Step { checkpoints: true, ..step(20, 1, 9000) };
+            play.hand_in("patient", "praha", vec![patient], 9000);
+        }
+        // One job at a time, within the account's 24 accelerators.
+        let over = pressing.is_none_or(|id| play.handed[&id].ended.is_some());
+        if over && at % 1500 == 0 {
+            let width = rng.random_range(1..4);
+            let gang = Step { gang: true, ..step(width, sizes(rng), 2000) };
+            let id = play.hand_in("urgent", "brno", vec![gang], 2000);
+            guaranteed.push(id);
+            pressing = Some(id);
+        }
+        play.run_for(100);
+    }
+    guaranteed
+}
+
+#[test]
+fn guarantee_in_time() {
+    for seed in 0..12 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut play = Play::new(3);
+        let guaranteed = mixed(&mut play, &mut rng, 30, 900);
+        play.run_for(RECLAIM_MS);
+        for id in guaranteed {
+            let started = play.all_started(id);
+            assert!(
+                started.is_some_and(|ms| ms <= RECLAIM_MS),
+                "seed {seed}: {id} started after {started:?} ms"
+            );
+        }
+    }
+}
+
+#[test]
+fn nothing_starves() {
+    for seed in 100..106 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut play = Play::new(3);
+        let large = Step { gang: true, ..step(6, 8, 5000) };
+        mixed(&mut play, &mut rng, 8, 1500);
+        let large = play.hand_in("plain", "brno", vec![large], 5000);
+        mixed(&mut play, &mut rng, 20, 1500);
+        assert!(play.run_until_ended(120_000), "seed {seed}: all jobs end once no more come");
+        assert!(play.handed[&large].ended.is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn takeovers_under_load() {
+    for seed in 200..206 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut play = Play::new(3);
+        for _ in 0..6 {
+            mixed(&mut play, &mut rng, 4, 1200);
+            play.take_over();
+            let index = rng.random_range(0..play.workers.len());
+            match rng.random_range(0..4) {
+                0 => play.restart(index),
+                1 => play.workers[index].reachable = !play.workers[index].reachable,
+                2 => play.workers[index].mute = !play.workers[index].mute,
+                _ => play.workers[index].hangs = !play.workers[index].hangs,
+            }
+        }
+        for worker in &mut play.workers {
+            worker.reachable = true;
+            worker.mute = false;
+            worker.hangs = false;
+        }
+        assert!(play.run_until_ended(180_000), "seed {seed}: all jobs end");
+    }
+}
--- /dev/null
+++ b/lib/tests/batch_play/mod.rs
@@ -0,0 +1,525 @@
+//! A fleet of make-believe workers around the planner's tables, on a clock of its own.
+//!
+//! It plays a load against the decisions and checks at every moment what must never happen: a
+//! worker over its capacity, two runs of one task at a time, part of a gang at work.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use lavendergauge_lib::batch::job::Id;
+use lavendergauge_lib::batch::job::Record;
+use lavendergauge_lib::batch::job::State;
+use lavendergauge_lib::batch::job::Step;
+use lavendergauge_lib::batch::job::Submission;
+use lavendergauge_lib::batch::job::Task;
+use lavendergauge_lib::batch::job::Word;
+use lavendergauge_lib::batch::load;
+use lavendergauge_lib::batch::observe;
+use lavendergauge_lib::batch::observe::Announcement;
+use lavendergauge_lib::batch::observe::Change;
+use lavendergauge_lib::batch::observe::End;
+use lavendergauge_lib::batch::observe::Ending;
+use lavendergauge_lib::batch::observe::List;
+use lavendergauge_lib::batch::observe::Report;
+use lavendergauge_lib::batch::observe::Row;
+use lavendergauge_lib::batch::order;
+use lavendergauge_lib::batch::order::Answer;
+use lavendergauge_lib::batch::order::Order;
+use lavendergauge_lib::batch::order::Verb;
+use lavendergauge_lib::batch::progress::Progress;
+use lavendergauge_lib::batch::site::Account;
+use lavendergauge_lib::batch::site::Bounds;
+use lavendergauge_lib::batch::site::Config;
+use lavendergauge_lib::batch::site::Queue;
+use lavendergauge_lib::batch::table::Tables;
+use lavendergauge_lib::batch::tick;
+use lavendergauge_lib::clock::Millis;
+
+/// Length of one step of the play, in milliseconds.
+pub const STEP_MS: u64 = 20;
+/// Time of day at the play's start, in Unix milliseconds.
+const WALL_MS: u64 = 1_700_000_000_000;
+/// Longest time that a stopped task takes to end.
+const STOP_MS: u64 = 400;
+
+/// A run on a make-believe worker.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub run: u32,
+    pub began: u64,
+    pub done_ms: u64,
+    pub stops_at: Option<u64>,
+}
+
+/// A make-believe worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    pub node: String,
+    pub rack: String,
+    pub incarnation: u64,
+    pub runs: BTreeMap<Task, Run>,
+    pub refused: BTreeMap<Task, u32>,
+    pub ends: Vec<End>,
+    pub numbered: u64,
+    pub fence: u64,
+    pub lease: u64,
+    /// Whether the planner reaches its agent.
+    pub reachable: bool,
+    /// Whether it takes new work.
+    pub ready: bool,
+    /// Whether its runs stand still.
+    pub hangs: bool,
+    /// Whether all that it starts fails at once.
+    pub fails: bool,
+    /// Whether answers to orders are lost.
+    pub mute: bool,
+}
+
+/// What a caller handed in.
+#[derive(Clone, Debug)]
+pub struct Handed {
+    pub at: u64,
+    pub work_ms: u64,
+    pub objective_ms: u64,
+    pub ended: Option<u64>,
+}
+
+/// The play.
+pub struct Play {
+    pub now: u64,
+    pub tables: Tables,
+    pub fence: u64,
+    pub workers: Vec<Worker>,
+    pub stored: BTreeMap<Id, Progress>,
+    pub records: BTreeMap<Id, Record>,
+    pub handed: BTreeMap<Id, Handed>,
+    pub config: Arc<Config>,
+    pub starts: Vec<(u64, Task, u32, String)>,
+    pub done: BTreeSet<Task>,
+    pub wasted_ms: u64,
+    pub store_down: bool,
+    next: u64,
+}
+
+/// A queue of the play.
+pub fn queue(name: &str, priority: u32, stretch_permille: u64) -> Queue {
+    Queue {
+        name: name.to_owned(),
+        service: "sim".to_owned(),
+        priority,
+        attempts: 3,
+        stretch_permille,
+        target_ms: 1000,
+        ..Queue::default()
+    }
+}
+
+/// One task that takes some accelerators.
+pub fn step(tasks: u32, accelerators: u32, estimate_ms: u64) -> Step {
+    Step { tasks, accelerators, processors: 1000, memory_mb: 1024, estimate_ms, ..Step::default() }
+}
+
+impl Play {
+    /// `racks` racks of three workers with eight accelerators each.
+    pub fn new(racks: usize) -> Play {
+        let config = Config {
+            version: 1,
+            queues: vec![
+                queue("urgent", 0, 1500),
+                queue("plain", 1, 3000),
+                queue("patient", 2, 3000),
+            ],
+            accounts: vec![
+                Account { name: "brno".into(), keys: Vec::new(), guaranteed: 24 },
+                Account { name: "praha".into(), keys: Vec::new(), guaranteed: 8 },
+            ],
+            body_limit: 1 << 18,
+        };
+        let workers = (0..racks * 3)
+            .map(|index| Worker {
+                node: format!("side-{index}"),
+                rack: format!("r-{}", index / 3),
+                incarnation: 1 + index as u64,
+                runs: BTreeMap::new(),
+                refused: BTreeMap::new(),
+                ends: Vec::new(),
+                numbered: 0,
+                fence: 0,
+                lease: 0,
+                reachable: true,
+                ready: true,
+                hangs: false,
+                fails: false,
+                mute: false,
+            })
+            .collect();
+        let mut play = Play {
+            now: 100_000,
+            tables: Tables::new(bounds(), Millis(100_000)),
+            fence: 1,
+            workers,
+            stored: BTreeMap::new(),
+            records: BTreeMap::new(),
+            handed: BTreeMap::new(),
+            config: Arc::new(config),
+            starts: Vec::new(),
+            done: BTreeSet::new(),
+            wasted_ms: 0,
+            store_down: false,
+            next: 1,
+        };
+        play.run_for(200);
+        play
+    }
+
+    /// Hands a job in; each of its tasks takes `work_ms`.
+    pub fn hand_in(
+        &mut self,
+        queue_name: &str,
+        account: &str,
+        steps: Vec<Step>,
+        work_ms: u64,
+    ) -> Id {
+        let id = Id(self.next);
+        self.next += 1;
+        let queue = self.config.queue(queue_name).cloned().expect("a queue of the play");
+        let objective_ms = work_ms * queue.stretch_permille / 1000 + queue.target_ms;
+        let record = Record {
+            submission: Submission { payload: "p".into(), steps, ..Submission::default() },
+            queue,
+            account: account.to_owned(),
+            accepted_ms: self.wall(),
+            word: Word::Wanted,
+        };
+        self.records.insert(id, record.clone());
+        self.handed.insert(id, Handed { at: self.now, work_ms, objective_ms, ended: None });
+        let wall = self.wall();
+        load::record(&mut self.tables, Millis(self.now), wall, id, record);
+        id
+    }
+
+    /// Cancels a job.
+    pub fn cancel(&mut self, id: Id) {
+        let record = self.records.get_mut(&id).expect("a job of the play");
+        record.word = Word::Cancelled;
+        let record = record.clone();
+        let wall = self.wall();
+        load::record(&mut self.tables, Millis(self.now), wall, id, record);
+    }
+
+    fn wall(&self) -> u64 {
+        WALL_MS + self.now
+    }
+
+    /// What a caller is told of a job.
+    pub fn state(&self, id: Id) -> Option<State> {
+        self.tables.jobs.get(&id).map(|job| job.state())
+    }
+
+    /// Another planner takes over with what is stored.
+    pub fn take_over(&mut self) {
+        self.fence += 1;
+        self.tables = Tables::new(bounds(), Millis(self.now));
+        let (now, wall) = (Millis(self.now), self.wall());
+        for (id, record) in &self.records {
+            load::record(&mut self.tables, now, wall, *id, record.clone());
+        }
+        for (id, progress) in &self.stored {
+            load::progress(&mut self.tables, now, wall, *id, progress);
+        }
+    }
+
+    /// Plays on for a while.
+    pub fn run_for(&mut self, ms: u64) {
+        let until = self.now + ms;
+        while self.now < until {
+            self.now += STEP_MS;
+            self.work();
+            self.report();
+            self.turn();
+            self.check();
+        }
+    }
+
+    /// Plays on until every job has ended, or for `ms` at most; tells whether they did.
+    pub fn run_until_ended(&mut self, ms: u64) -> bool {
+        let until = self.now + ms;
+        while self.now < until {
+            if self.handed.values().all(|handed| handed.ended.is_some()) {
+                return true;
+            }
+            self.run_for(STEP_MS);
+        }
+        false
+    }
+
+    fn work(&mut self) {
+        let now = self.now;
+        for worker in &mut self.workers {
+            let lapsed = worker.lease < now && !worker.runs.is_empty();
+            let runs: Vec<Task> = worker.runs.keys().copied().collect();
+            for task in runs {
+                let run = worker.runs[&task].clone();
+                let ending = if lapsed {
+                    Some((Ending::Over, "lapsed"))
+                } else if run.stops_at.is_some_and(|at| at <= now) {
+                    Some((Ending::Over, "stopped"))
+                } else if worker.hangs || run.stops_at.is_some() {
+                    None
+                } else if worker.fails {
+                    Some((Ending::Failed, "failed"))
+                } else if run.began + run.done_ms <= now {
+                    Some((Ending::Done, "done"))
+                } else {
+                    None
+                };
+                let Some((ending, word)) = ending else { continue };
+                worker.runs.remove(&task);
+                if ending != Ending::Done {
+                    self.wasted_ms += now - run.began;
+                } else {
+                    self.done.insert(task);
+                }
+                worker.numbered += 1;
+                worker.refused.insert(task, run.run);
+                worker.ends.push(End {
+                    number: worker.numbered,
+                    task,
+                    run: run.run,
+                    ending,
+                    word: word.to_owned(),
+                    checkpoint: String::new(),
+                });
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        for index in 0..self.workers.len() {
+            if !self.workers[index].reachable {
+                continue;
+            }
+            self.workers[index].fence = self.workers[index].fence.max(self.fence);
+            self.forget_and_hold(index);
+            let report = self.report_of(index);
+            let changes = observe::report(&mut self.tables, Millis(self.now), self.fence, &report);
+            for change in changes {
+                if let Change::Stray(task, run) = change {
+                    self.stop(index, task, run);
+                }
+            }
+        }
+    }
+
+    fn forget_and_hold(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        let Some(key) = self.tables.nodes.get(&worker.node) else { return };
+        let row = &self.tables.workers[*key];
+        if row.incarnation == worker.incarnation {
+            worker.ends.retain(|end| row.acknowledged < end.number);
+        }
+        if row.session == 1 {
+            worker.lease = worker.lease.max(row.granted);
+        }
+    }
+
+    fn report_of(&self, index: usize) -> Report {
+        let worker = &self.workers[index];
+        let row = |(task, run): (&Task, &Run)| {
+            let elapsed = if worker.hangs { 0 } else { self.now - run.began };
+            let percent = (elapsed * 100 / run.done_ms.max(1)).min(99) as u32;
+            Row { task: *task, run: run.run, checkpoint: String::new(), percent }
+        };
+        let announcement = Announcement {
+            id: worker.node.clone(),
+            incarnation: worker.incarnation,
+            service: "sim".into(),
+            data_centre: "dc".into(),
+            rack: worker.rack.clone(),
+            labels: vec!["a".into(), worker.rack.clone()],
+            accelerators: 8,
+            processors: 64_000,
+            memory_mb: 131_072,
+            ready: worker.ready,
+            leaves_ms: 0,
+        };
+        Report {
+            node: worker.node.clone(),
+            clock: self.now,
+            session: 1,
+            fence: worker.fence,
+            version: 0,
+            over: 0,
+            worker: Some(announcement),
+            list: Some(List {
+                incarnation: worker.incarnation,
+                fence: worker.fence,
+                asked: self.now,
+                running: worker.runs.iter().map(row).collect(),
+                ends: worker.ends.clone(),
+            }),
+        }
+    }
+
+    fn stop(&mut self, index: usize, task: Task, run: u32) {
+        let at = self.now + STOP_MS;
+        let worker = &mut self.workers[index];
+        let refused = worker.refused.entry(task).or_default();
+        *refused = (*refused).max(run);
+        if let Some(found) = worker.runs.get_mut(&task)
+            && found.run <= run
+        {
+            found.stops_at.get_or_insert(at);
+        }
+    }
+
+    fn turn(&mut self) {
+        self.tables.config = self.config.clone();
+        let (now, wall) = (Millis(self.now), self.wall());
+        tick::run(&mut self.tables, now, wall);
+        if !self.store_down {
+            self.store();
+        }
+        for dispatch in tick::orders(&mut self.tables, now) {
+            let index = self.workers.iter().position(|w| w.node == dispatch.node);
+            let Some(index) = index else { continue };
+            let answer = self.carry_out(index, &dispatch.order);
+            order::answered(&mut self.tables, now, &dispatch.order, &answer);
+        }
+        for (id, handed) in &mut self.handed {
+            let state = self.tables.jobs.get(id).map(|job| job.state());
+            let over = matches!(state, Some(State::Completed | State::Failed | State::Cancelled));
+            if over && handed.ended.is_none() {
+                handed.ended = Some(self.now);
+            }
+        }
+    }
+
+    /// Stores every record that has changed.
+    pub fn store(&mut self) {
+        let ids: Vec<Id> = std::mem::take(&mut self.tables.dirty).into_iter().collect();
+        for id in ids {
+            if let Some((version, progress)) = load::snapshot(&self.tables, id) {
+                self.stored.insert(id, progress);
+                load::stored(&mut self.tables, id, version);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, order: &Order) -> Answer {
+        if !self.workers[index].reachable {
+            return Answer::Unknown;
+        }
+        if order.incarnation != self.workers[index].incarnation {
+            return Answer::Gone;
+        }
+        let mute = self.workers[index].mute;
+        let answer = match &order.verb {
+            Verb::Stop => {
+                self.stop(index, order.task, order.run);
+                Answer::Done(self.now)
+            }
+            Verb::Start { .. } => self.start(index, order),
+        };
+        if mute { Answer::Unknown } else { answer }
+    }
+
+    fn start(&mut self, index: usize, order: &Order) -> Answer {
+        let work_ms = self.handed[&order.task.part.job].work_ms;
+        let (now, fence) = (self.now, self.fence);
+        let worker = &mut self.workers[index];
+        if worker.refused.get(&order.task).is_some_and(|run| order.run <= *run) {
+            return Answer::Refused("old".into());
+        }
+        if fence < worker.fence {
+            return Answer::Refused("fence".into());
+        }
+        let run = Run { run: order.run, began: now, done_ms: work_ms, stops_at: None };
+        worker.runs.insert(order.task, run);
+        let row = self.tables.nodes.get(&worker.node).map(|key| &self.tables.workers[*key]);
+        worker.lease = worker.lease.max(row.map_or(0, |row| row.granted));
+        self.starts.push((now, order.task, order.run, worker.node.clone()));
+        assert!(!self.done.contains(&order.task) || self.lost_end(order.task), "{order:?} again");
+        Answer::Done(now)
+    }
+
+    /// Tells whether the good end of a task was lost with its worker's memory.
+    fn lost_end(&self, task: Task) -> bool {
+        !self.workers.iter().any(|worker| {
+            worker.ends.iter().any(|end| end.task == task && end.ending == Ending::Done)
+        }) && !self.recorded_done(task)
+    }
+
+    fn recorded_done(&self, task: Task) -> bool {
+        self.stored.get(&task.part.job).is_some_and(|progress| {
+            progress.occurrences.iter().any(|row| {
+                row.number == task.part.occurrence
+                    && row.steps[usize::from(task.part.step)][task.index as usize].done
+            })
+        })
+    }
+
+    /// Checks what must never happen.
+    fn check(&self) {
+        let mut seen: BTreeMap<Task, &str> = BTreeMap::new();
+        for worker in &self.workers {
+            let mut accelerators = 0;
+            for (task, run) in &worker.runs {
+                let part = usize::from(task.part.step);
+                let record = &self.records[&task.part.job];
+                accelerators += record.submission.steps[part].accelerators;
+                let before = seen.insert(*task, &worker.node);
+                assert!(before.is_none(), "{task} run {} runs twice at {}", run.run, self.now);
+            }
+            assert!(accelerators <= 8, "{} is over its capacity at {}", worker.node, self.now);
+        }
+    }
+
+    /// Restarts a worker: what ran there is gone, and its lists are empty.
+    pub fn restart(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        worker.incarnation += 1000;
+        worker.runs.clear();
+        worker.refused.clear();
+        worker.ends.clear();
+        worker.numbered = 0;
+    }
+
+    /// Share of the jobs of a queue that ended within their objective, in percent.
+    pub fn in_objective(&self, queue: &str) -> u64 {
+        let of_queue: Vec<&Handed> = self
+            .handed
+            .iter()
+            .filter(|(id, _)| self.records[id].queue.name == queue)
+            .map(|(_, handed)| handed)
+            .collect();
+        let good = of_queue
+            .iter()
+            .filter(|handed| {
+                handed.ended.is_some_and(|ended| ended <= handed.at + handed.objective_ms)
+            })
+            .count();
+        (good * 100 / of_queue.len().max(1)) as u64
+    }
+
+    /// When the last task of a job's first step started, since it was handed in.
+    pub fn all_started(&self, id: Id) -> Option<u64> {
+        let tasks = self.records[&id].submission.steps[0].tasks;
+        let mut first: BTreeMap<u32, u64> = BTreeMap::new();
+        for (at, task, _, _) in self.starts.iter().filter(|(_, task, _, _)| task.part.job == id) {
+            first.entry(task.index).or_insert(*at);
+        }
+        if (first.len() as u32) < tasks {
+            return None;
+        }
+        first.values().max().map(|at| at - self.handed[&id].at)
+    }
+}
+
+/// The bounds of the play.
+pub fn bounds() -> Bounds {
+    Bounds { stop_grace_ms: 400, remote_permille: 3000, reclaim_ms: 2900, keep_ms: 120_000 }
+}
