--- a/lib/tests/batch_play/mod.rs
+++ b/lib/tests/batch_play/mod.rs
@@ -101,6 +101,7 @@
     pub done: BTreeSet<Task>,
     pub wasted_ms: u64,
     pub store_down: bool,
+    pub paced: Vec<(Task, u32)>,
     next: u64,
 }
 
@@ -169,12 +170,22 @@
             done: BTreeSet::new(),
             wasted_ms: 0,
             store_down: false,
+            paced: Vec::new(),
             next: 1,
         };
         play.run_for(200);
         play
     }
 
+    /// Makes a queue need advice, with tickets that live for a while.
+    pub fn advise_queue(&mut self, name: &str, valid_ms: u64) {
+        let mut config = Config::clone(&self.config);
+        for queue in config.queues.iter_mut().filter(|queue| queue.name == name) {
+            queue.advice_valid_ms = valid_ms;
+        }
+        self.config = Arc::new(config);
+    }
+
     /// Hands a job in; each of its tasks takes `work_ms`.
     pub fn hand_in(
         &mut self,
@@ -423,7 +434,10 @@
                 Answer::Done(self.now)
             }
             Verb::Start { .. } => self.start(index, order),
-            Verb::Pace(_) => Answer::Done(self.now),
+            Verb::Pace(percent) => {
+                self.paced.push((order.task, *percent));
+                Answer::Done(self.now)
+            }
         };
         if mute { Answer::Unknown } else { answer }
     }
