--- a/daemon/src/batch/upkeep.rs
+++ b/daemon/src/batch/upkeep.rs
@@ -3,6 +3,7 @@
 //! What was ordered is recorded first, so that the next planner knows which machines may be down.
 
 use std::collections::BTreeMap;
+use std::collections::btree_map::Entry as Slot;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -74,11 +75,10 @@
     wave: &Wave,
     under: &mut BTreeMap<u64, Under>,
 ) -> Result<(), Error> {
-    if !under.contains_key(&wave.number) {
-        let found = read(entry, wave.number).await?;
-        under.insert(wave.number, found);
-    }
-    let Some(row) = under.get_mut(&wave.number) else { return Ok(()) };
+    let row = match under.entry(wave.number) {
+        Slot::Occupied(slot) => slot.into_mut(),
+        Slot::Vacant(slot) => slot.insert(read(entry, wave.number).await?),
+    };
     if row.done.completed {
         return Ok(());
     }
