batch: no new work for a worker that does not answer its agent

The agent knew from its last look and did not say. It does now, and batch_runs::deaf_worker, which failed to compile without the field, holds it.

Ruled out: the share of orders carried out late (the answers were resets).

--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -90,6 +90,8 @@
     pub list: Option<List>,
     /// Incarnation of the worker, and number of the newest end that it may forget.
     pub forget: (u64, u64),
+    /// Whether the worker answered the last call.
+    pub answers: bool,
     /// Whether orders were carried out since the worker was last asked what it runs.
     pub ordered: bool,
 }
@@ -176,6 +178,7 @@
             fence: core.fence,
             version,
             over: core.over,
+            answers: core.answers,
             worker: core.worker.clone(),
             list: core.list.clone(),
         }
@@ -234,6 +237,7 @@
             worker_clock: None,
             list: None,
             forget: (0, 0),
+            answers: true,
             ordered: false,
         }),
     });
@@ -345,6 +349,7 @@
         core.sequence = beat.sequence;
         core.worker_clock = None;
         core.list = None;
+        core.answers = true;
         agent.nudge.notify_one();
     }
     core.worker = Some(word);
--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -85,6 +85,7 @@
             Ok(Some(look)) => {
                 if std::mem::take(&mut lost) {
                     log::info!("event=worker-regained worker={}", question.id);
+                    set_answers(&agent, true);
                 }
                 take(&agent, &question, asked, look);
                 if question.ends {
@@ -101,6 +102,7 @@
                     lost = true;
                     let cause = error.to_string();
                     log::warn!("event=worker-lost worker={} cause={}", question.id, Value(&cause));
+                    set_answers(&agent, false);
                 }
                 time::sleep(PAUSE_FAILED).await;
             }
@@ -108,6 +110,12 @@
     }
 }
 
+/// Takes in whether the worker answers; the planner gives one that does not no new work.
+fn set_answers(agent: &Agent, answers: bool) {
+    agent.core().answers = answers;
+    agent.changed();
+}
+
 fn take(agent: &Agent, question: &Question, asked: u64, look: Look) {
     let mut core = agent.core();
     let current = core.worker.as_ref().is_some_and(|w| w.incarnation == question.incarnation);
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -123,6 +123,8 @@
     pub version: u64,
     /// Newest incarnation of the worker that is over for certain; 0 for none.
     pub over: u64,
+    /// Whether the worker answered the agent's last call.
+    pub answers: bool,
     /// The worker; `None` before it has announced itself and after it has left.
     pub worker: Option<Announcement>,
     /// What the worker said last; `None` before it said anything.
@@ -162,6 +164,7 @@
     let renewed = worker.session != report.session;
     worker.agent_clock = report.clock;
     worker.clock_read = now;
+    worker.answers = report.answers;
     worker.session = report.session;
     if renewed {
         worker.granted = 0;
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -122,6 +122,7 @@
     let service = &tables.queue(job).service;
     let fits = |(_, worker): &(key::Worker, &crate::batch::table::Worker)| {
         worker.ready
+            && worker.answers
             && worker.service == *service
             && worker.heard.is_some_and(|heard| now.since(heard) < SILENCE)
             && worker.paused <= now
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -253,6 +253,8 @@
     pub ready: bool,
     /// Until when a worker that takes no new work stays for certain.
     pub leaves: Option<Millis>,
+    /// Whether it answered its agent's last call.
+    pub answers: bool,
     /// When it was last asked what runs there and answered, under this planner's fencing token.
     pub heard: Option<Millis>,
     /// When nothing can run on it any more unless it is heard of again.
@@ -382,6 +384,7 @@
             capacity: Room::default(),
             ready: false,
             leaves: None,
+            answers: false,
             heard: None,
             over,
             agent_clock: 0,
--- a/lib/tests/batch_play/mod.rs
+++ b/lib/tests/batch_play/mod.rs
@@ -76,6 +76,8 @@
     pub fails: bool,
     /// Whether answers to orders are lost.
     pub mute: bool,
+    /// Whether it answered its agent's last call.
+    pub answers: bool,
 }
 
 /// What a caller handed in.
@@ -155,6 +157,7 @@
                 hangs: false,
                 fails: false,
                 mute: false,
+                answers: true,
             })
             .collect();
         let mut play = Play {
@@ -364,6 +367,7 @@
             fence: worker.fence,
             version: 0,
             over: 0,
+            answers: worker.answers,
             worker: Some(announcement),
             list: Some(List {
                 incarnation: worker.incarnation,
--- a/lib/tests/batch_runs.rs
+++ b/lib/tests/batch_runs.rs
@@ -173,3 +173,15 @@
     assert_eq!(play.starts.len(), 2);
     assert_ne!(play.starts[1].3, node);
 }
+
+#[test]
+fn deaf_worker() {
+    // A worker that stopped answering its agent a moment ago is given nothing.
+    let mut play = Play::new(1);
+    play.workers[0].answers = false;
+    play.run_for(20);
+    play.hand_in("plain", "brno", vec![step(4, 4, 600)], 600);
+    play.run_for(100);
+    assert_eq!(play.starts.len(), 4);
+    assert!(play.starts.iter().all(|(_, _, _, node)| node != "side-0"));
+}
