preempt: wait for work that is about to end, and weigh what room costs

Now runs that will end by themselves within the job's slack are waited for, and a job that can still be in time may cost as much work as it brings; one that will be late anyway an eighth. batch_load::nearly_done failed before (2700 ms of work lost).

--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -52,6 +52,12 @@
 const LEAVE_SLACK_MS: u64 = 1500;
 /// Time that a step waits in vain before space is kept for it.
 const DRAIN_AFTER: Duration = Duration::from_secs(3);
+/// Gain in percent from which a run's progress tells when it will end.
+const SURE_PERCENT: u32 = 10;
+/// Part of the time for guaranteed work in which it may wait for others to end by themselves.
+const RECLAIM_WAIT_PARTS: u64 = 4;
+/// Part of its own work that a job which will be late anyway may cost others.
+const LATE_SHARE: u64 = 8;
 /// Most steps for which space is kept while others run to their end.
 const DRAINS: usize = 2;
 
@@ -526,6 +532,7 @@
 ) -> bool {
     let count = if step.gang { step.tasks } else { candidate.waiting.len() as u32 };
     let covered = rank::covered(tables);
+    let slack = slack(tables, now, candidate);
     if candidate.guaranteed {
         // Space that is only kept for others is theirs no longer.
         let kept: Vec<Part> = tables
@@ -546,6 +553,9 @@
         let priority = tables.queue(job).priority;
         let yields = candidate.priority < priority
             || (candidate.guaranteed && covered.binary_search(&task.part.job).is_err());
+        if ends_within(step, run, now, slack) {
+            return Some(0);
+        }
         (yields && !step.lasts).then(|| preempt::loss(step, run, now))
     };
     let part = candidate.part;
@@ -555,13 +565,17 @@
     let Some(clearing) = clearing else { return false };
     let cores = u64::from(step.processors) / 1000 + 8 * u64::from(step.accelerators);
     let own = cores.max(1) * rank::estimate(step) * u64::from(count);
-    if !candidate.guaranteed && own / 2 < clearing.cost {
+    // Beyond its guarantee a job may cost others as much work as it brings, if it comes in time.
+    let late = candidate.latest < now + Duration::from_millis(tables.bounds.stop_grace_ms);
+    let most = if late { own / LATE_SHARE } else { own };
+    if !candidate.guaranteed && most < clearing.cost {
         return false;
     }
     for task in &clearing.victims {
+        let Some(victim) = tables.step(task.part).cloned() else { continue };
         let Some(work) = tables.work_mut(*task) else { continue };
         let Some(run) = &work.live else { continue };
-        if place::leaves(run.phase) {
+        if place::leaves(run.phase) || ends_within(&victim, run, now, slack) {
             continue;
         }
         notes.push(Note::Stopped(*task, run.number, Cause::Preempted.word()));
@@ -575,6 +589,26 @@
     true
 }
 
+/// Returns the time for which a pressing step can wait for others to end by themselves.
+fn slack(tables: &Tables, now: Millis, candidate: &Candidate) -> Duration {
+    let grace = Duration::from_millis(tables.bounds.stop_grace_ms);
+    let spare = candidate.latest.since(now).saturating_sub(grace);
+    if !candidate.guaranteed {
+        return spare;
+    }
+    let bound = Duration::from_millis(tables.bounds.reclaim_ms / RECLAIM_WAIT_PARTS);
+    spare.min(bound.saturating_sub(now.since(candidate.since)))
+}
+
+/// Tells whether a run will end by itself within a time, by its progress so far.
+fn ends_within(step: &Step, run: &Run, now: Millis, time: Duration) -> bool {
+    let gained = run.percent.saturating_sub(run.first_percent);
+    run.phase == Phase::Running
+        && !step.lasts
+        && SURE_PERCENT <= gained
+        && left_ms(step, run, now) <= time.as_millis() as u64
+}
+
 fn keep(
     tables: &mut Tables,
     now: Millis,
--- a/lib/tests/batch_load.rs
+++ b/lib/tests/batch_load.rs
@@ -103,3 +103,31 @@
         assert!(play.run_until_ended(180_000), "seed {seed}: all jobs end");
     }
 }
+
+#[test]
+fn nearly_done() {
+    // Work that is about to end is waited for rather than thrown away, where there is time.
+    let mut play = Play::new(1);
+    for _ in 0..3 {
+        play.hand_in("plain", "praha", vec![step(1, 8, 3000)], 3000);
+    }
+    play.run_for(2700);
+    let urgent = play.hand_in("urgent", "brno", vec![step(1, 8, 2000)], 2000);
+    play.run_for(1200);
+    assert!(play.all_started(urgent).is_some_and(|ms| ms <= 600));
+    assert_eq!(play.wasted_ms, 0);
+}
+
+#[test]
+fn costly_room() {
+    // Beyond its guarantee, an urgent job stops no more work of others than it brings.
+    let mut play = Play::new(1);
+    for _ in 0..3 {
+        play.hand_in("plain", "praha", vec![step(1, 8, 20_000)], 20_000);
+    }
+    play.run_for(9000);
+    let urgent = play.hand_in("urgent", "praha", vec![step(3, 8, 2000)], 2000);
+    play.run_for(3000);
+    assert_eq!(play.all_started(urgent), None);
+    assert_eq!(play.wasted_ms, 0);
+}
