--- a/daemon/src/batch/lead.rs
+++ b/daemon/src/batch/lead.rs
@@ -55,6 +55,8 @@
     pub address: String,
     /// Drawn anew by each process.
     pub session: u64,
+    /// The store's lease that the duty is held by.
+    pub lease: u64,
 }
 
 /// One time of holding the duty.
@@ -97,7 +99,9 @@
         };
         match found {
             Some(item) => {
-                note(&entry, &item);
+                if let Some(lease) = note(&entry, &item) {
+                    end_predecessor(&entry, lease).await;
+                }
                 wait_for_end(&entry.store, revision).await;
             }
             None if *entry.stopping.borrow() => time::sleep(PAUSE).await,
@@ -113,18 +117,34 @@
     }
 }
 
-/// Takes in who holds the duty.
-fn note(entry: &Entry, item: &Item) {
+/// Ends the lease of this entry's last process, so that nobody has to wait for it to run out.
+async fn end_predecessor(entry: &Entry, lease: u64) {
+    match entry.store.revoke(lease, DEADLINE).await {
+        Ok(()) => log::info!("event=predecessor-ended planner={} lease={lease}", entry.name),
+        Err(error) => {
+            log::warn!("event=lease-not-revoked cause={}", Value(&error.to_string()));
+        }
+    }
+}
+
+/// Takes in who holds the duty; returns its lease when the holder is dead for certain.
+///
+/// It is when it listened at this entry's own address, which only one process can.
+fn note(entry: &Entry, item: &Item) -> Option<u64> {
     match codec::unpack::<Leader>(&item.value) {
         Ok(leader) => {
             let changed = entry.leader.borrow().as_ref() != Some(&leader);
             if changed {
                 log::info!("event=planner-known planner={} fence={}", leader.name, item.created);
-                entry.leader.send_replace(Some(leader));
+                entry.leader.send_replace(Some(leader.clone()));
             }
+            let predecessor =
+                leader.address == entry.settings.peer_address && leader.session != entry.session;
+            predecessor.then_some(leader.lease)
         }
         Err(cause) => {
             log::error!("event=lead-unreadable cause={}", Value(&cause.to_string()));
+            None
         }
     }
 }
@@ -161,6 +181,7 @@
         name: entry.name.clone(),
         address: entry.settings.peer_address.clone(),
         session: entry.session,
+        lease,
     };
     let value = codec::pack(&leader).map_err(|error| Error::NotDone(error.to_string()))?;
     let transaction = Transaction {
