--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -26,6 +26,7 @@
 pub mod questionnaire;
 pub mod request;
 pub mod target;
+pub mod trace;
 pub mod worker;
 
 /// Control address that is called when none is named.
@@ -89,6 +90,7 @@
         .subcommand(target::command())
         .subcommand(config::command())
         .subcommand(explain::command())
+        .subcommand(trace::command())
         .subcommand(questionnaire::command())
         .subcommand(completions::command())
 }
@@ -135,6 +137,7 @@
         Some(("target", matches)) => target::run(&context, matches).await,
         Some(("config", matches)) => config::run(&context, matches).await,
         Some(("explain", matches)) => explain::run(&context, matches).await,
+        Some(("trace", matches)) => trace::run(matches),
         Some(("questionnaire", matches)) => questionnaire::run(matches),
         Some(("completions", matches)) => Ok(completions::run(matches)),
         _ => Ok(Report::new("", &())),
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod questions;
 pub mod report;
 pub mod secret;
+pub mod trace;
