--- a/lib/src/batch/health.rs
+++ b/lib/src/batch/health.rs
@@ -9,6 +9,8 @@
 
 /// Failures of different jobs in a row after which a worker is avoided.
 const FAILURES: u32 = 2;
+/// Work before a failure below which the worker is suspected at once.
+const AT_ONCE: Duration = Duration::from_millis(400);
 /// First time for which a worker is avoided; it doubles with each further failure.
 const FIRST_PAUSE: Duration = Duration::from_secs(3);
 /// Longest time for which a worker is avoided.
@@ -40,24 +42,27 @@
         *self = Health::default();
     }
 
-    /// Takes in that a run of a job failed or stood still.
+    /// Takes in that a run of a job failed or stood still after it had worked for a time.
+    ///
+    /// One that fails right after its start tells more of the worker than of the job.
     ///
     /// ```
     /// use lavendergauge_lib::batch::health::Health;
     /// use lavendergauge_lib::batch::job::Id;
     /// use lavendergauge_lib::clock::Millis;
+    /// use std::time::Duration;
     /// let mut health = Health::default();
-    /// health.failed(Millis(0), Id(1));
+    /// health.failed(Millis(0), Id(1), Duration::from_secs(2));
     /// assert!(!health.avoided(Millis(1)));
-    /// health.failed(Millis(0), Id(2));
+    /// health.failed(Millis(0), Id(2), Duration::from_secs(2));
     /// assert!(health.avoided(Millis(1)));
     /// ```
-    pub fn failed(&mut self, now: Millis, job: Id) {
+    pub fn failed(&mut self, now: Millis, job: Id, worked: Duration) {
         if self.last == Some(job) {
             return;
         }
         self.last = Some(job);
-        self.failures += 1;
+        self.failures += if worked < AT_ONCE { FAILURES } else { 1 };
         if self.failures < FAILURES {
             return;
         }
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -331,6 +331,10 @@
     if !end.checkpoint.is_empty() && end.run == work.run {
         work.checkpoint = end.checkpoint.clone();
     }
+    let worked = match &work.live {
+        Some(run) if current => now.since(run.since),
+        _ => Duration::MAX,
+    };
     if current {
         work.live = None;
     }
@@ -356,7 +360,7 @@
             if gang {
                 share_failure(tables, task, end.run);
             }
-            tables.workers[key].health.failed(now, task.part.job);
+            tables.workers[key].health.failed(now, task.part.job, worked);
         }
         _ => {}
     }
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -240,7 +240,7 @@
         load::stop(work, Cause::Stuck);
         observe::break_gang(tables, task);
         if let Some(worker) = tables.workers.get_mut(key) {
-            worker.health.failed(now, task.part.job);
+            worker.health.failed(now, task.part.job, STUCK);
         }
     }
 }
--- a/lib/tests/batch_runs.rs
+++ b/lib/tests/batch_runs.rs
@@ -185,3 +185,16 @@
     assert_eq!(play.starts.len(), 4);
     assert!(play.starts.iter().all(|(_, _, _, node)| node != "side-0"));
 }
+
+#[test]
+fn fails_at_once() {
+    // A worker that fails a task right after its start gets no task of the next jobs for a while.
+    let mut play = Play::new(1);
+    play.workers[0].fails = true;
+    for _ in 0..3 {
+        play.hand_in("plain", "brno", vec![step(1, 2, 900)], 900);
+        play.run_for(900);
+    }
+    let on_it = play.starts.iter().filter(|(_, _, _, node)| node == "side-0").count();
+    assert_eq!(on_it, 1, "one failure was enough");
+}
