ingress: a call in doubt backs off, and tells its caller sooner

The pauses double now, a line is written at the first failure and one when the call is settled or given up, and the caller hears 504 after 1.7 s.

Cancelling is one try and a loop around it, on the same terms.

--- a/daemon/src/batch/ingress.rs
+++ b/daemon/src/batch/ingress.rs
@@ -55,8 +55,12 @@
 const LEAST_TIME: Duration = Duration::from_millis(100);
 /// Deadline of one call to the store.
 const STORE_DEADLINE: Duration = Duration::from_millis(800);
-/// Pause before a call to the store is repeated.
-const STORE_PAUSE: Duration = Duration::from_millis(80);
+/// First and longest pause before a call to the store is repeated.
+const STORE_PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
+/// Tries to read a job's state before the caller is sent elsewhere.
+const STATE_TRIES: u32 = 3;
+/// Time after which a caller is told that its call is in doubt; another entry may settle it sooner.
+const SETTLE_TIME: Duration = Duration::from_millis(1700);
 /// Deadline of a question to the planner.
 const PLANNER_DEADLINE: Duration = Duration::from_millis(400);
 /// Deadline of the word to the planner that a job is there; its watch is the safety net.
@@ -249,13 +253,14 @@
         accepted_ms: clock::wall_ms(),
         word: Word::Wanted,
     };
-    let mut in_doubt = false;
+    let mut doubt = Doubt::default();
     // A cancelled job that was never known is replaced by the job in its cancelled state.
     let mut before = 0;
     loop {
-        let (outcome, _) = write(entry, call, id, before, admitted.revision, &record).await;
+        let outcome = write(entry, call, id, before, admitted.revision, &record).await;
         match outcome {
             Ok(Committed::Done(_)) => {
+                doubt.settled(id);
                 notify(entry, id, record);
                 return Ok(Good::Accepted);
             }
@@ -265,6 +270,7 @@
                         return Err(Refusal::NotStored);
                     };
                     if known.word != Word::Unknown {
+                        doubt.settled(id);
                         notify(entry, id, known);
                         return Ok(Good::Accepted);
                     }
@@ -276,19 +282,53 @@
                 record.account = admitted.account.clone();
             }
             Ok(Committed::NoLease) => return Err(Refusal::NotStored),
-            Err(Error::NotDone(_)) if !in_doubt => {
-                if time_is_up(call) {
-                    return Err(Refusal::NotStored);
-                }
+            Err(error) => doubt.add(id, error).await?,
+        }
+        doubt.check(id, call)?;
+    }
+}
+
+/// A write whose outcome is not known.
+#[derive(Default)]
+struct Doubt {
+    begun: Option<Millis>,
+    tries: u32,
+}
+
+impl Doubt {
+    /// Takes in that a try failed, and waits before the next.
+    ///
+    /// The same conditional write may be repeated: of all its tries one takes effect at most.
+    async fn add(&mut self, id: Id, error: Error) -> Result<(), Refusal> {
+        if self.begun.is_none() {
+            log::info!("event=record-write-failed job={id} cause={}", Value(&error.to_string()));
+            if matches!(error, Error::NotDone(_)) {
                 return Err(Refusal::NotStored);
             }
-            Err(_) => {
-                in_doubt = true;
-                time::sleep(STORE_PAUSE).await;
-            }
         }
-        if time_is_up(call) {
-            return Err(if in_doubt { Refusal::InDoubt } else { Refusal::NotStored });
+        self.begun.get_or_insert(clock::boot());
+        let (first, longest) = STORE_PAUSE;
+        time::sleep((first * (1 << self.tries.min(4))).min(longest)).await;
+        self.tries += 1;
+        Ok(())
+    }
+
+    /// Gives up once another entry had better try.
+    fn check(&self, id: Id, call: &Call) -> Result<(), Refusal> {
+        let Some(begun) = self.begun else {
+            return if time_is_up(call) { Err(Refusal::NotStored) } else { Ok(()) };
+        };
+        if time_is_up(call) || SETTLE_TIME <= clock::boot().since(begun) {
+            log::info!("event=record-in-doubt job={id} tries={}", self.tries);
+            return Err(Refusal::InDoubt);
+        }
+        Ok(())
+    }
+
+    /// Says that the outcome is known after all.
+    fn settled(&self, id: Id) {
+        if self.begun.is_some() {
+            log::info!("event=record-settled job={id} tries={}", self.tries);
         }
     }
 }
@@ -301,22 +341,14 @@
     before: u64,
     config: u64,
     record: &Record,
-) -> (Result<Committed, Error>, Duration) {
-    let deadline = bounded(call);
-    let value = match codec::pack(record) {
-        Ok(value) => value,
-        Err(cause) => return (Err(Error::NotDone(cause.to_string())), deadline),
-    };
+) -> Result<Committed, Error> {
+    let value = codec::pack(record).map_err(|cause| Error::NotDone(cause.to_string()))?;
     let transaction = Transaction {
         conditions: vec![(keys::job(id), before), (operator::CONFIG.to_owned(), config)],
         puts: vec![Put { key: keys::job(id), value, lease: 0 }],
         removals: Vec::new(),
     };
-    let outcome = entry.store.commit(&transaction, deadline).await;
-    if let Err(error) = &outcome {
-        log::info!("event=record-write-failed job={id} cause={}", Value(&error.to_string()));
-    }
-    (outcome, deadline)
+    entry.store.commit(&transaction, bounded(call)).await
 }
 
 /// Tells the planner of a record, without waiting for it.
@@ -368,6 +400,7 @@
 }
 
 async fn state(entry: &Entry, call: &Call, admitted: &Admitted, id: Id) -> Result<Good, Refusal> {
+    let mut tries = 0;
     let (state, account) = match ask(entry, &Query::Job(id)).await {
         Some(Told::Job { state, account, .. }) => (state, account),
         _ => loop {
@@ -380,10 +413,11 @@
                 Err(error) => {
                     let cause = error.to_string();
                     log::info!("event=state-unread job={id} cause={}", Value(&cause));
-                    if time_is_up(call) {
+                    tries += 1;
+                    if time_is_up(call) || STATE_TRIES <= tries {
                         return Err(Refusal::Unanswered);
                     }
-                    time::sleep(STORE_PAUSE).await;
+                    time::sleep(STORE_PAUSE.0).await;
                 }
             }
         },
@@ -406,64 +440,77 @@
     mut admitted: Admitted,
     id: Id,
 ) -> Result<Good, Refusal> {
-    let mut in_doubt = false;
+    let mut doubt = Doubt::default();
     loop {
-        let read = entry.store.read(&keys::job(id), bounded(call)).await;
-        match read {
-            Ok(None) => {
-                let record = Record {
-                    submission: Submission::default(),
-                    queue: admitted.queue.clone(),
-                    account: admitted.account.clone(),
-                    accepted_ms: clock::wall_ms(),
-                    word: Word::Unknown,
-                };
-                match write(entry, call, id, 0, admitted.revision, &record).await.0 {
-                    Ok(Committed::Done(_)) => return Err(Refusal::NoJob),
-                    Ok(Committed::Conflict(items)) => {
-                        learn(entry, id, items);
-                        admitted = look_up(entry, call)?;
-                    }
-                    Ok(Committed::NoLease) => return Err(Refusal::NotStored),
-                    Err(Error::NotDone(_)) if !in_doubt => return Err(Refusal::NotStored),
-                    Err(_) => in_doubt = true,
-                }
-            }
-            Ok(Some(item)) => {
-                let Some((_, mut record)) = planner::decode::<Record>(keys::JOBS, &item) else {
-                    return Err(Refusal::NotStored);
-                };
-                owned(&admitted, &record.account)?;
-                match record.word {
-                    Word::Unknown => return Err(Refusal::NoJob),
-                    Word::Cancelled => {
-                        notify(entry, id, record);
-                        return Ok(Good::Accepted);
-                    }
-                    Word::Wanted => record.word = Word::Cancelled,
-                }
-                match write(entry, call, id, item.revision, admitted.revision, &record).await.0 {
-                    Ok(Committed::Done(_)) => {
-                        notify(entry, id, record);
-                        return Ok(Good::Accepted);
-                    }
-                    Ok(Committed::Conflict(items)) => {
-                        learn(entry, id, items);
-                        admitted = look_up(entry, call)?;
-                    }
-                    Ok(Committed::NoLease) => return Err(Refusal::NotStored),
-                    Err(Error::NotDone(_)) if !in_doubt => return Err(Refusal::NotStored),
-                    Err(_) => in_doubt = true,
-                }
+        match cancel_once(entry, call, &admitted, id).await {
+            Ok(Cancelled::Now(record)) => {
+                doubt.settled(id);
+                notify(entry, id, record);
+                return Ok(Good::Accepted);
             }
-            Err(error) => {
-                log::info!("event=state-unread job={id} cause={}", Value(&error.to_string()));
+            Ok(Cancelled::Unknown) => return Err(Refusal::NoJob),
+            Ok(Cancelled::Changed(items)) => {
+                learn(entry, id, items);
+                admitted = look_up(entry, call)?;
             }
+            Ok(Cancelled::Refused(refusal)) => return Err(refusal),
+            Err(error) => doubt.add(id, error).await?,
+        }
+        doubt.check(id, call)?;
+    }
+}
+
+/// What became of one try to cancel a job.
+enum Cancelled {
+    /// It is cancelled.
+    Now(Record),
+    /// There is no such job, and never will be.
+    Unknown,
+    /// Something has changed meanwhile; these are the keys that it rests on.
+    Changed(Vec<Item>),
+    /// It cannot be cancelled by this caller.
+    Refused(Refusal),
+}
+
+/// Reads a job's record and writes it as cancelled; one that is not there yet never runs.
+async fn cancel_once(
+    entry: &Entry,
+    call: &Call,
+    admitted: &Admitted,
+    id: Id,
+) -> Result<Cancelled, Error> {
+    let found = entry.store.read(&keys::job(id), bounded(call)).await?;
+    let (record, before) = match &found {
+        None => {
+            let record = Record {
+                submission: Submission::default(),
+                queue: admitted.queue.clone(),
+                account: admitted.account.clone(),
+                accepted_ms: clock::wall_ms(),
+                word: Word::Unknown,
+            };
+            (record, 0)
         }
-        if time_is_up(call) {
-            return Err(if in_doubt { Refusal::InDoubt } else { Refusal::NotStored });
+        Some(item) => {
+            let Some((_, mut record)) = planner::decode::<Record>(keys::JOBS, item) else {
+                return Ok(Cancelled::Refused(Refusal::NotStored));
+            };
+            if let Err(refusal) = owned(admitted, &record.account) {
+                return Ok(Cancelled::Refused(refusal));
+            }
+            match record.word {
+                Word::Unknown => return Ok(Cancelled::Unknown),
+                Word::Cancelled => return Ok(Cancelled::Now(record)),
+                Word::Wanted => record.word = Word::Cancelled,
+            }
+            (record, item.revision)
         }
-        time::sleep(STORE_PAUSE).await;
+    };
+    match write(entry, call, id, before, admitted.revision, &record).await? {
+        Committed::Done(_) if before == 0 => Ok(Cancelled::Unknown),
+        Committed::Done(_) => Ok(Cancelled::Now(record)),
+        Committed::Conflict(items) => Ok(Cancelled::Changed(items)),
+        Committed::NoLease => Ok(Cancelled::Refused(Refusal::NotStored)),
     }
 }
 
