--- a/cli/tests/docs_commands.rs
+++ b/cli/tests/docs_commands.rs
@@ -7,7 +7,7 @@
 #[test]
 fn commands_taken() {
     let mut count = 0;
-    for page in ["README.md", "docs/OPERATING.md"] {
+    for page in ["README.md", "docs/OPERATIONS.md"] {
         let path = format!("{}/../{page}", env!("CARGO_MANIFEST_DIR"));
         let text = fs::read_to_string(path).expect("readable");
         for line in text.lines().filter_map(|line| line.strip_prefix("    lavendergauge ")) {
--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -262,6 +262,9 @@
         Note::Stopped(task, run, cause) => {
             log::info!("event=stop-decided task={task} run={run} cause={cause}");
         }
+        Note::Preempted { task, run, by } => {
+            log::info!("event=stop-decided task={task} run={run} cause=preempted by={by}");
+        }
         Note::Claimed(part, workers) => {
             log::info!("event=space-kept job={} step={} workers={workers}", part.job, part.step)
         }
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -81,6 +81,15 @@
     },
     /// A run is told to stop.
     Stopped(Task, u32, &'static str),
+    /// A run is told to stop for a more pressing job.
+    Preempted {
+        /// The task.
+        task: Task,
+        /// Number of the run.
+        run: u32,
+        /// The job that takes its place.
+        by: Id,
+    },
     /// Space is kept for a step.
     Claimed(Part, usize),
     /// A job has ended.
@@ -578,7 +587,7 @@
         if place::leaves(run.phase) || ends_within(&victim, run, now, slack) {
             continue;
         }
-        notes.push(Note::Stopped(*task, run.number, Cause::Preempted.word()));
+        notes.push(Note::Preempted { task: *task, run: run.number, by: candidate.part.job });
         load::stop(work, Cause::Preempted);
         observe::break_gang(tables, *task);
     }
