--- a/daemon/src/batch/follow.rs
+++ b/daemon/src/batch/follow.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lavendergauge_lib::batch::dispatch::Dispatch;
 use lavendergauge_lib::batch::job::Record;
 use lavendergauge_lib::batch::observe;
 use lavendergauge_lib::batch::observe::Change;
 use lavendergauge_lib::batch::observe::Report;
 use lavendergauge_lib::batch::order::Order;
 use lavendergauge_lib::batch::order::Verb;
-use lavendergauge_lib::batch::tick::Dispatch;
 use lavendergauge_net::client;
 use lavendergauge_platform::store::Event;
 use lavendergauge_platform::store::Item;
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -6,9 +6,12 @@
 //! every end before its worker may forget it.
 
 pub mod advice;
+pub mod assign;
+pub mod dispatch;
 pub mod health;
 pub mod job;
 pub mod load;
+pub mod note;
 pub mod observe;
 pub mod order;
 pub mod pace;
@@ -16,7 +19,9 @@
 pub mod preempt;
 pub mod progress;
 pub mod rank;
+pub mod room;
 pub mod site;
 pub mod table;
 pub mod tick;
+pub mod watch;
 pub mod wave;
--- /dev/null
+++ b/lib/src/batch/dispatch.rs
@@ -0,0 +1,88 @@
+//! Which orders are to be sent to which agents.
+
+use std::time::Duration;
+
+use lavendergauge_derive::row;
+
+use crate::batch::advice;
+use crate::batch::job::Task;
+use crate::batch::order::Order;
+use crate::batch::order::Verb;
+use crate::batch::pace;
+use crate::batch::table::Phase;
+use crate::batch::table::Run;
+use crate::batch::table::Tables;
+use crate::clock::Millis;
+use crate::key;
+
+/// Time after which a stop order without an answer is sent again.
+const STOP_AGAIN: Duration = Duration::from_millis(700);
+/// Least time between two orders on a filler's pace.
+const PACE_AGAIN: Duration = Duration::from_millis(200);
+/// Time for which a start order may be carried out; a later one is refused by the agent.
+const START_VALID_MS: u64 = 1500;
+
+/// An order and the agent that it goes to.
+#[row]
+pub struct Dispatch {
+    /// The worker.
+    pub worker: key::Worker,
+    /// Name of the agent.
+    pub node: String,
+    /// Process of the agent.
+    pub session: u64,
+    /// The order.
+    pub order: Order,
+}
+
+/// Tells whether a filler works at another share than it should.
+fn is_off_pace(tables: &Tables, task: Task, run: &Run) -> bool {
+    tables.step(task.part).is_some_and(|step| step.fills)
+        && run.paced != pace::wanted(tables, run.worker)
+}
+
+/// Returns the orders that are to be sent now and marks them as sent.
+///
+/// A start leaves only once its run is recorded.
+pub fn orders(tables: &mut Tables, now: Millis) -> Vec<Dispatch> {
+    let mut dispatches = Vec::new();
+    for task in tables.live() {
+        let Some(job) = tables.jobs.get(&task.part.job) else { continue };
+        let record = job.record.clone();
+        let Some(work) = tables.work(task) else { continue };
+        let Some(run) = &work.live else { continue };
+        let Some(worker) = tables.workers.get(run.worker) else { continue };
+        let verb = match run.phase {
+            Phase::Launching if run.ordered.is_none() => {
+                let age = now.since(worker.clock_read).as_millis() as u64;
+                Verb::Start {
+                    payload: record.submission.payload.clone(),
+                    checkpoint: work.checkpoint.clone(),
+                    ticket: advice::ticket(tables, now, task.part, run.worker)
+                        .map_or_else(String::new, |ticket| ticket.text.clone()),
+                    expires: worker.agent_clock + age + START_VALID_MS,
+                }
+            }
+            Phase::Stopping(_) if !run.stop_heard => {
+                if run.ordered.is_some_and(|sent| now.since(sent) < STOP_AGAIN) {
+                    continue;
+                }
+                Verb::Stop
+            }
+            Phase::Running if is_off_pace(tables, task, run) => {
+                if run.ordered.is_some_and(|sent| now.since(sent) < PACE_AGAIN) {
+                    continue;
+                }
+                Verb::Pace(pace::wanted(tables, run.worker))
+            }
+            _ => continue,
+        };
+        let order = Order { task, run: run.number, incarnation: run.incarnation, verb };
+        let (node, session) = (worker.node.clone(), worker.session);
+        dispatches.push(Dispatch { worker: run.worker, node, session, order });
+        if let Some(run) = tables.work_mut(task).and_then(|work| work.live.as_mut()) {
+            run.ordered = Some(now);
+        }
+    }
+    dispatches
+}
--- a/lib/src/batch/load.rs
+++ b/lib/src/batch/load.rs
@@ -98,23 +98,7 @@
 
 /// A run that an earlier planner left, as far as its record tells.
 fn left(now: Millis, number: u32, place: &Place, worker: crate::key::Worker) -> Run {
-    Run {
-        number,
-        worker,
-        incarnation: place.incarnation,
-        phase: Phase::Running,
-        since: now,
-        version: 0,
-        settled: Some(0),
-        ordered: None,
-        percent: 0,
-        first_percent: 0,
-        seen: None,
-        moved: now,
-        stop_heard: false,
-        measure: 0,
-        paced: 100,
-    }
+    Run { settled: Some(0), ..Run::new(number, worker, place.incarnation, Phase::Running, now) }
 }
 
 /// Returns when an occurrence is due, on the planner's clock.
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -33,6 +33,8 @@
 pub const GRANT: Duration = Duration::from_millis(4000);
 /// Time for which a planner that cannot renew its own lease goes on granting.
 pub const GRANT_UNSURE: Duration = Duration::from_millis(8000);
+/// Share at which a run works unless it is told otherwise, in percent.
+const FULL_PACE: u32 = 100;
 /// Share by which a worker's clock may be slow, in percent, doubled.
 const CLOCK_SLACK_PERCENT: u32 = 4;
 
@@ -146,6 +148,35 @@
     pub paced: u32,
 }
 
+impl Run {
+    /// Makes a run that was not heard of yet.
+    pub fn new(
+        number: u32,
+        worker: key::Worker,
+        incarnation: u64,
+        phase: Phase,
+        since: Millis,
+    ) -> Self {
+        Run {
+            number,
+            worker,
+            incarnation,
+            phase,
+            since,
+            version: 0,
+            settled: None,
+            ordered: None,
+            percent: 0,
+            first_percent: 0,
+            seen: None,
+            moved: since,
+            stop_heard: false,
+            measure: 0,
+            paced: FULL_PACE,
+        }
+    }
+}
+
 /// One task.
 #[row]
 #[derive(Default)]
--- a/lib/tests/batch_play/mod.rs
+++ b/lib/tests/batch_play/mod.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use lavendergauge_lib::batch::dispatch;
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::Record;
 use lavendergauge_lib::batch::job::State;
@@ -398,7 +399,7 @@
         if !self.store_down {
             self.store();
         }
-        for dispatch in tick::orders(&mut self.tables, now) {
+        for dispatch in dispatch::orders(&mut self.tables, now) {
             let index = self.workers.iter().position(|w| w.node == dispatch.node);
             let Some(index) = index else { continue };
             let answer = self.carry_out(index, &dispatch.order);
