--- a/daemon/src/duty.rs
+++ b/daemon/src/duty.rs
@@ -13,6 +13,7 @@
 use lavendergauge_lib::name::Name;
 use lavendergauge_lib::planner::Event;
 use lavendergauge_lib::planner::Planner;
+use lavendergauge_lib::standing::SUSPECT_AFTER;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -185,6 +186,12 @@
         let word = (member.frame.incarnation, member.frame.sequence);
         duty.heard.get(member.frame.worker.as_str()) != Some(&word)
     };
+    let silent: Vec<Name> = core
+        .members
+        .iter()
+        .filter(|member| SUSPECT_AFTER < now.since(member.seen))
+        .map(|member| Name::from(&member.frame.worker))
+        .collect();
     let frames: Vec<_> = core.members.iter().filter(fresh).map(|one| one.frame.clone()).collect();
     let changed = duty.planner.tables().revision != core.document.revision;
     let fleet = changed.then(|| config::fleet(&core.document));
@@ -200,6 +207,9 @@
     for report in reports {
         duty.planner.apply(now, Event::Announce(report));
     }
+    for worker in silent {
+        duty.planner.apply(now, Event::Silence(worker));
+    }
     for worker in lost {
         log::warn!("event=worker-lost worker={worker}");
         duty.heard.remove(worker.as_str());
--- a/daemon/tests/faults/reclaim_faults.rs
+++ b/daemon/tests/faults/reclaim_faults.rs
@@ -96,7 +96,6 @@
 }
 
 #[tokio::test]
-#[ignore = "KNOWN-RED: issue 9"]
 async fn borrower_killed() {
     let (mut cluster, _) = filled(1).await;
     let id = cluster.submit(0, &claim()).await;
--- a/lib/src/census.rs
+++ b/lib/src/census.rs
@@ -47,6 +47,9 @@
         restart(tables, now, worker, report.incarnation, actions);
     }
     resize(tables, now, worker, capacity(report), actions);
+    if std::mem::take(&mut tables.workers[worker].silent) {
+        tables.version += 1;
+    }
     if tables.workers[worker].leaving != report.leaving {
         tables.workers[worker].leaving = report.leaving;
         changed(tables);
@@ -54,6 +57,14 @@
     reconcile(tables, worker, report);
 }
 
+/// Marks a worker whose agent is silent; what runs there goes on, and nothing new is placed.
+pub(crate) fn silence(tables: &mut Tables, worker: &Name) {
+    let Some(&key) = tables.worker_names.get(worker) else { return };
+    if !std::mem::replace(&mut tables.workers[key].silent, true) {
+        tables.version += 1;
+    }
+}
+
 /// Marks a worker as lost, with all members that ran there.
 pub(crate) fn lose(
     tables: &mut Tables,
@@ -133,6 +144,7 @@
         draining: Room::default(),
         jobs: SmallVec::new(),
         leaving: report.leaving,
+        silent: false,
         lost: None,
         health: Health::default(),
     });
--- a/lib/src/claim.rs
+++ b/lib/src/claim.rs
@@ -128,6 +128,13 @@
 /// Finds the cheapest way: in the hold where it is, or where it can move while nothing runs in it.
 fn cheapest(tables: &Tables, now: Millis, job: key::Job, guarantee: key::Guarantee) -> Option<Way> {
     let here = in_hold(tables, job, guarantee);
+    // A hold on a worker that is silent may not come free before the worker counts as lost.
+    let silent = here
+        .as_ref()
+        .is_some_and(|way| way.spots.iter().any(|spot| tables.workers[spot.worker].silent));
+    if silent && tables.guarantees[guarantee].claims.is_empty() {
+        return elsewhere(tables, job, guarantee).or(here);
+    }
     if here.as_ref().is_some_and(|way| way.shortages.is_empty()) {
         return here;
     }
@@ -215,7 +222,7 @@
         allowed,
         |worker, state| {
             let room = state.unpromised().plus(held(worker));
-            seat::usable(tables, state).then_some(room)
+            (seat::usable(tables, state) && !state.silent).then_some(room)
         },
         |worker, state, members| {
             let needed = row.shape.accelerators * members;
--- a/lib/src/decision.rs
+++ b/lib/src/decision.rs
@@ -46,6 +46,8 @@
     Configure(Config),
     /// A worker announced itself.
     Announce(Report),
+    /// A worker's agent is silent; what runs there may go on.
+    Silence(Name),
     /// A worker is gone, with all that ran there.
     Lose(Name),
     /// A job was accepted.
--- a/lib/src/planner.rs
+++ b/lib/src/planner.rs
@@ -92,6 +92,7 @@
             Event::Announce(report) => {
                 census::announce(&mut self.tables, now, &report, &mut self.pending);
             }
+            Event::Silence(worker) => census::silence(&mut self.tables, &worker),
             Event::Lose(worker) => self.lose(now, &worker),
             Event::Submit(submission) => self.submit(now, submission),
             Event::Started { job, attempt } => self.started(&job, attempt),
--- a/lib/src/seat.rs
+++ b/lib/src/seat.rs
@@ -127,7 +127,7 @@
 
 /// Tells whether a worker takes a job now, whatever room it has.
 pub(crate) fn admits(now: Millis, job: &Job, row: &Worker) -> bool {
-    row.lost.is_none() && !row.leaving && row.health.admits(now, job)
+    row.lost.is_none() && !row.leaving && !row.silent && row.health.admits(now, job)
 }
 
 /// Returns the cost of a worker that failed or refused a job, which is taken only for want of others.
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -77,6 +77,8 @@
     pub jobs: SmallVec<[key::Job; 8]>,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// Whether its agent has been silent for a moment; nothing new is placed there.
+    pub silent: bool,
     /// When it was lost; `None` while it announces itself.
     pub lost: Option<Millis>,
     /// Its record of failures.
--- a/lib/tests/guarantee_reclaim.rs
+++ b/lib/tests/guarantee_reclaim.rs
@@ -6,6 +6,7 @@
 
 use lavendergauge_lib::name::Name;
 use lavendergauge_lib::planner::Action;
+use lavendergauge_lib::planner::Event;
 use lavendergauge_lib::shape::Adjacency;
 use support::World;
 use support::account;
@@ -128,3 +129,23 @@
     assert!(world.runs("c"));
     assert_eq!(world.workers("c").len(), 2);
 }
+
+#[test]
+fn silent_worker() {
+    // A claim does not wait for a worker whose agent has gone silent to be given up as lost.
+    let mut world = world(&["w1", "w2"]);
+    for name in ["b1", "b2"] {
+        world.submit(job(name, "b", shape(1, 8, Adjacency::Worker)));
+    }
+    world.run(SECOND);
+    world.submit(claim("c", "a", "sweep", shape(1, 8, Adjacency::Worker)));
+    world.run(SECOND / 5);
+    let told = if stops(&world, "b1") == 1 { "b1" } else { "b2" };
+    let worker = world.workers(told).remove(0);
+    world.deaf.push(Name::from(told));
+    world.forget_answers();
+    world.apply(Event::Silence(Name::from(worker.as_str())));
+    world.run(SECOND * 3);
+    assert!(world.runs("c"), "the other borrower leaves for it");
+    assert_ne!(world.workers("c"), [worker]);
+}
--- a/lib/tests/support/mod.rs
+++ b/lib/tests/support/mod.rs
@@ -193,6 +193,11 @@
         }
     }
 
+    /// Loses the answers that are still on their way.
+    pub fn forget_answers(&mut self) {
+        self.answers.clear();
+    }
+
     /// Returns a job's state, if it has not ended.
     pub fn state(&self, name: &str) -> Option<State> {
         let tables = self.planner.tables();
