--- a/daemon/src/batch.rs
+++ b/daemon/src/batch.rs
@@ -4,7 +4,9 @@
 
 pub mod advise;
 pub mod agent;
+pub mod agent_order;
 pub mod agent_worker;
+pub mod doubt;
 pub mod entry;
 pub mod follow;
 pub mod ingress;
--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use lavendergauge_lib::batch::observe::List;
-use lavendergauge_platform::worker::Look;
+use lavendergauge_platform::worker::Snapshot;
 use tokio::time;
 
 use crate::batch::agent::Agent;
@@ -116,7 +116,7 @@
     agent.changed();
 }
 
-fn take(agent: &Agent, question: &Question, asked: u64, look: Look) {
+fn take(agent: &Agent, question: &Question, asked: u64, look: Snapshot) {
     let mut core = agent.core();
     let current = core.worker.as_ref().is_some_and(|w| w.incarnation == question.incarnation);
     if !current || core.fence != question.fence {
--- a/daemon/src/batch/entry.rs
+++ b/daemon/src/batch/entry.rs
@@ -25,7 +25,7 @@
 use crate::batch::message;
 use crate::batch::message::Notice;
 use crate::batch::message::Query;
-use crate::batch::message::Told;
+use crate::batch::message::Reply;
 use crate::batch::peer;
 use crate::batch::planner::Planner;
 use crate::batch::view;
@@ -61,7 +61,7 @@
     pub store: Store,
     /// Client towards the fleet's processes.
     pub client: Client,
-    /// What is known of the operators' word.
+    /// What is known of the operators' configuration.
     pub view: Arc<View>,
     /// Who holds the planner's duty, as far as known.
     pub leader: watch::Sender<Option<Leader>>,
@@ -194,7 +194,8 @@
         },
         message::QUERY => match peer::read::<Query>(request).await {
             Ok(query) => {
-                let told = entry.planner().map_or(Told::NotPlanner, |planner| planner.tell(&query));
+                let told =
+                    entry.planner().map_or(Reply::NotPlanner, |planner| planner.tell(&query));
                 peer::answer(&told)
             }
             Err(refusal) => refusal,
--- a/daemon/src/batch/ingress.rs
+++ b/daemon/src/batch/ingress.rs
@@ -15,10 +15,10 @@
 use hyper::header::AUTHORIZATION;
 use hyper::header::HOST;
 use lavendergauge_lib::batch::job::Id;
+use lavendergauge_lib::batch::job::Intent;
 use lavendergauge_lib::batch::job::Record;
 use lavendergauge_lib::batch::job::State;
 use lavendergauge_lib::batch::job::Submission;
-use lavendergauge_lib::batch::job::Word;
 use lavendergauge_lib::batch::site::Queue;
 use lavendergauge_lib::clock::Millis;
 use lavendergauge_net::body;
@@ -35,12 +35,13 @@
 use metrics::histogram;
 use tokio::time;
 
+use crate::batch::doubt::Doubt;
 use crate::batch::entry::Entry;
 use crate::batch::keys;
 use crate::batch::message;
 use crate::batch::message::Notice;
 use crate::batch::message::Query;
-use crate::batch::message::Told;
+use crate::batch::message::Reply;
 use crate::batch::planner;
 use crate::batch::refusal;
 use crate::batch::refusal::Refusal;
@@ -55,12 +56,10 @@
 const LEAST_TIME: Duration = Duration::from_millis(100);
 /// Deadline of one call to the store.
 const STORE_DEADLINE: Duration = Duration::from_millis(800);
-/// First and longest pause before a call to the store is repeated.
-const STORE_PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
+/// Pause before a job's state is read again.
+const STATE_PAUSE: Duration = Duration::from_millis(60);
 /// Tries to read a job's state before the caller is sent elsewhere.
 const STATE_TRIES: u32 = 3;
-/// Time after which a caller is told that its call is in doubt; another entry may settle it sooner.
-const SETTLE_TIME: Duration = Duration::from_millis(1700);
 /// Deadline of a question to the planner.
 const PLANNER_DEADLINE: Duration = Duration::from_millis(400);
 /// Deadline of the word to the planner that a job is there; its watch is the safety net.
@@ -88,8 +87,8 @@
     rest: String,
 }
 
-/// A good answer.
-enum Good {
+/// An answer with success.
+enum Success {
     Accepted,
     State(State),
     Waiting(u64),
@@ -127,12 +126,14 @@
     entry: &Entry,
     call: &Call,
     begun: Millis,
-    outcome: Result<Good, Refusal>,
+    outcome: Result<Success, Refusal>,
 ) -> Response<Body> {
     let (response, word) = match &outcome {
-        Ok(Good::Accepted) => (refusal::json(StatusCode::OK, Bytes::from_static(b"{}")), "ok"),
-        Ok(Good::State(state)) => (refusal::json(StatusCode::OK, ingress::state(*state)), "state"),
-        Ok(Good::Waiting(count)) => {
+        Ok(Success::Accepted) => (refusal::json(StatusCode::OK, Bytes::from_static(b"{}")), "ok"),
+        Ok(Success::State(state)) => {
+            (refusal::json(StatusCode::OK, ingress::state(*state)), "state")
+        }
+        Ok(Success::Waiting(count)) => {
             (refusal::json(StatusCode::OK, ingress::waiting(*count)), "waiting")
         }
         Err(refusal) => (refusal.response(), refusal.text()),
@@ -160,7 +161,7 @@
     response
 }
 
-async fn handle(entry: &Arc<Entry>, call: &Call, bytes: Bytes) -> Result<Good, Refusal> {
+async fn handle(entry: &Arc<Entry>, call: &Call, bytes: Bytes) -> Result<Success, Refusal> {
     let admitted = admit(entry, call).await?;
     let id = Id::parse(&admitted.rest);
     match (&call.method, id) {
@@ -245,13 +246,13 @@
     mut admitted: Admitted,
     id: Id,
     submission: Submission,
-) -> Result<Good, Refusal> {
+) -> Result<Success, Refusal> {
     let mut record = Record {
         submission,
         queue: admitted.queue.clone(),
         account: admitted.account.clone(),
         accepted_ms: clock::wall_ms(),
-        word: Word::Wanted,
+        intent: Intent::Wanted,
     };
     let mut doubt = Doubt::default();
     // A cancelled job that was never known is replaced by the job in its cancelled state.
@@ -262,20 +263,20 @@
             Ok(Committed::Done(_)) => {
                 doubt.settled(id);
                 notify(entry, id, record);
-                return Ok(Good::Accepted);
+                return Ok(Success::Accepted);
             }
             Ok(Committed::Conflict(items)) => {
                 if let Some(item) = learn(entry, id, items) {
                     let Some((_, known)) = planner::decode::<Record>(keys::JOBS, &item) else {
                         return Err(Refusal::NotStored);
                     };
-                    if known.word != Word::Unknown {
+                    if known.intent != Intent::Unknown {
                         doubt.settled(id);
                         notify(entry, id, known);
-                        return Ok(Good::Accepted);
+                        return Ok(Success::Accepted);
                     }
                     before = item.revision;
-                    record.word = Word::Cancelled;
+                    record.intent = Intent::Cancelled;
                 }
                 admitted = look_up(entry, call)?;
                 record.queue = admitted.queue.clone();
@@ -284,52 +285,7 @@
             Ok(Committed::NoLease) => return Err(Refusal::NotStored),
             Err(error) => doubt.add(id, error).await?,
         }
-        doubt.check(id, call)?;
-    }
-}
-
-/// A write whose outcome is not known.
-#[derive(Default)]
-struct Doubt {
-    begun: Option<Millis>,
-    tries: u32,
-}
-
-impl Doubt {
-    /// Takes in that a try failed, and waits before the next.
-    ///
-    /// The same conditional write may be repeated: of all its tries one takes effect at most.
-    async fn add(&mut self, id: Id, error: Error) -> Result<(), Refusal> {
-        if self.begun.is_none() {
-            log::info!("event=record-write-failed job={id} cause={}", Value(&error.to_string()));
-            if matches!(error, Error::NotDone(_)) {
-                return Err(Refusal::NotStored);
-            }
-        }
-        self.begun.get_or_insert(clock::boot());
-        let (first, longest) = STORE_PAUSE;
-        time::sleep((first * (1 << self.tries.min(4))).min(longest)).await;
-        self.tries += 1;
-        Ok(())
-    }
-
-    /// Gives up once another entry had better try.
-    fn check(&self, id: Id, call: &Call) -> Result<(), Refusal> {
-        let Some(begun) = self.begun else {
-            return if time_is_up(call) { Err(Refusal::NotStored) } else { Ok(()) };
-        };
-        if time_is_up(call) || SETTLE_TIME <= clock::boot().since(begun) {
-            log::info!("event=record-in-doubt job={id} tries={}", self.tries);
-            return Err(Refusal::InDoubt);
-        }
-        Ok(())
-    }
-
-    /// Says that the outcome is known after all.
-    fn settled(&self, id: Id) {
-        if self.begun.is_some() {
-            log::info!("event=record-settled job={id} tries={}", self.tries);
-        }
+        doubt.check(id, call.until)?;
     }
 }
 
@@ -378,7 +334,7 @@
 }
 
 /// Asks the planner; `None` when it gives no answer.
-async fn ask(entry: &Entry, query: &Query) -> Option<Told> {
+async fn ask(entry: &Entry, query: &Query) -> Option<Reply> {
     if let Some(planner) = entry.planner() {
         return Some(planner.tell(query));
     }
@@ -386,7 +342,7 @@
     let asked =
         entry.client.exchange(&leader.address, message::QUERY, query, PLANNER_DEADLINE).await;
     match asked {
-        Ok(Told::NotPlanner) => None,
+        Ok(Reply::NotPlanner) => None,
         Ok(told) => Some(told),
         Err(error) => {
             log::info!(
@@ -399,13 +355,18 @@
     }
 }
 
-async fn state(entry: &Entry, call: &Call, admitted: &Admitted, id: Id) -> Result<Good, Refusal> {
+async fn state(
+    entry: &Entry,
+    call: &Call,
+    admitted: &Admitted,
+    id: Id,
+) -> Result<Success, Refusal> {
     let mut tries = 0;
     let (state, account) = match ask(entry, &Query::Job(id)).await {
-        Some(Told::Job { state, account, .. }) => (state, account),
+        Some(Reply::Job { state, account, .. }) => (state, account),
         _ => loop {
             match planner::state_from_store(entry, id, bounded(call)).await {
-                Ok(Some((_, record))) if record.word == Word::Unknown => {
+                Ok(Some((_, record))) if record.intent == Intent::Unknown => {
                     return Err(Refusal::NoJob);
                 }
                 Ok(Some((state, record))) => break (state, record.account),
@@ -417,13 +378,13 @@
                     if time_is_up(call) || STATE_TRIES <= tries {
                         return Err(Refusal::Unanswered);
                     }
-                    time::sleep(STORE_PAUSE.0).await;
+                    time::sleep(STATE_PAUSE).await;
                 }
             }
         },
     };
     owned(admitted, &account)?;
-    Ok(Good::State(state))
+    Ok(Success::State(state))
 }
 
 /// A job is its client account's alone, unless its queue is open to everybody.
@@ -439,14 +400,14 @@
     call: &Call,
     mut admitted: Admitted,
     id: Id,
-) -> Result<Good, Refusal> {
+) -> Result<Success, Refusal> {
     let mut doubt = Doubt::default();
     loop {
         match cancel_once(entry, call, &admitted, id).await {
             Ok(Cancelled::Now(record)) => {
                 doubt.settled(id);
                 notify(entry, id, record);
-                return Ok(Good::Accepted);
+                return Ok(Success::Accepted);
             }
             Ok(Cancelled::Unknown) => return Err(Refusal::NoJob),
             Ok(Cancelled::Changed(items)) => {
@@ -456,7 +417,7 @@
             Ok(Cancelled::Refused(refusal)) => return Err(refusal),
             Err(error) => doubt.add(id, error).await?,
         }
-        doubt.check(id, call)?;
+        doubt.check(id, call.until)?;
     }
 }
 
@@ -487,7 +448,7 @@
                 queue: admitted.queue.clone(),
                 account: admitted.account.clone(),
                 accepted_ms: clock::wall_ms(),
-                word: Word::Unknown,
+                intent: Intent::Unknown,
             };
             (record, 0)
         }
@@ -498,10 +459,10 @@
             if let Err(refusal) = owned(admitted, &record.account) {
                 return Ok(Cancelled::Refused(refusal));
             }
-            match record.word {
-                Word::Unknown => return Ok(Cancelled::Unknown),
-                Word::Cancelled => return Ok(Cancelled::Now(record)),
-                Word::Wanted => record.word = Word::Cancelled,
+            match record.intent {
+                Intent::Unknown => return Ok(Cancelled::Unknown),
+                Intent::Cancelled => return Ok(Cancelled::Now(record)),
+                Intent::Wanted => record.intent = Intent::Cancelled,
             }
             (record, item.revision)
         }
@@ -514,9 +475,9 @@
     }
 }
 
-async fn waiting(entry: &Entry, admitted: &Admitted) -> Result<Good, Refusal> {
+async fn waiting(entry: &Entry, admitted: &Admitted) -> Result<Success, Refusal> {
     match ask(entry, &Query::Waiting(admitted.queue.name.clone())).await {
-        Some(Told::Waiting(count)) => Ok(Good::Waiting(count)),
+        Some(Reply::Waiting(count)) => Ok(Success::Waiting(count)),
         _ => Err(Refusal::Unanswered),
     }
 }
--- a/daemon/src/batch/message.rs
+++ b/daemon/src/batch/message.rs
@@ -18,7 +18,7 @@
 pub const ADVISE: &str = "/batch/advise";
 /// Path at the planner's entry: [`Notice`], answered by nothing.
 pub const NOTICE: &str = "/batch/notice";
-/// Path at the planner's entry: [`Query`], answered by [`Told`].
+/// Path at the planner's entry: [`Query`], answered by [`Reply`].
 pub const QUERY: &str = "/batch/query";
 
 /// Who speaks, and until when tasks may run.
@@ -119,7 +119,7 @@
 /// What the planner tells.
 #[value]
 #[derive(Serialize, Deserialize)]
-pub enum Told {
+pub enum Reply {
     /// A job's state, and the client account and queue that it belongs to.
     Job {
         /// State.
--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -45,7 +45,7 @@
 use crate::batch::message::Authority;
 use crate::batch::message::Orders;
 use crate::batch::message::Query;
-use crate::batch::message::Told;
+use crate::batch::message::Reply;
 use crate::batch::upkeep;
 use crate::clock;
 use crate::logs::Value;
@@ -113,12 +113,12 @@
     }
 
     /// Answers a question of an entry.
-    pub fn tell(&self, query: &Query) -> Told {
+    pub fn tell(&self, query: &Query) -> Reply {
         let tables = self.tables();
         match query {
             Query::Job(id) => match tables.jobs.get(id) {
-                None => Told::Nothing,
-                Some(job) => Told::Job {
+                None => Reply::Nothing,
+                Some(job) => Reply::Job {
                     state: job.state(),
                     account: job.record.account.clone(),
                     queue: job.record.queue.name.clone(),
@@ -130,7 +130,7 @@
                         && job.record.queue.name == *queue
                         && job.record.submission.repeat.count == 0
                 };
-                Told::Waiting(tables.jobs.values().filter(waits).count() as u64)
+                Reply::Waiting(tables.jobs.values().filter(waits).count() as u64)
             }
         }
     }
--- a/daemon/src/batch/upkeep.rs
+++ b/daemon/src/batch/upkeep.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use lavendergauge_lib::batch::wave;
-use lavendergauge_lib::batch::wave::Done;
 use lavendergauge_lib::batch::wave::Machine;
+use lavendergauge_lib::batch::wave::Record;
 use lavendergauge_lib::batch::wave::Step;
 use lavendergauge_lib::batch::wave::Wave;
 use lavendergauge_platform::Error;
@@ -35,8 +35,8 @@
 const DEADLINE: Duration = Duration::from_millis(900);
 
 /// A wave with what is recorded of it.
-struct Under {
-    done: Done,
+struct Tracked {
+    done: Record,
     revision: u64,
 }
 
@@ -46,15 +46,15 @@
         return;
     }
     let service = Machines::new(&entry.settings.machines_address);
-    let mut under: BTreeMap<u64, Under> = BTreeMap::new();
+    let mut tracked: BTreeMap<u64, Tracked> = BTreeMap::new();
     loop {
         let waves: Vec<Wave> = entry.view.known().waves.values().cloned().collect();
         for wave in waves {
-            if under.get(&wave.number).is_some_and(|under| under.done.completed) {
+            if tracked.get(&wave.number).is_some_and(|wave| wave.done.completed) {
                 continue;
             }
             if let Err(error) =
-                advance(&entry, &planner, &tenure, &service, &wave, &mut under).await
+                advance(&entry, &planner, &tenure, &service, &wave, &mut tracked).await
             {
                 log::warn!(
                     "event=wave-held-up wave={} cause={}",
@@ -73,9 +73,9 @@
     tenure: &Tenure,
     service: &Machines,
     wave: &Wave,
-    under: &mut BTreeMap<u64, Under>,
+    tracked: &mut BTreeMap<u64, Tracked>,
 ) -> Result<(), Error> {
-    let row = match under.entry(wave.number) {
+    let row = match tracked.entry(wave.number) {
         Slot::Occupied(slot) => slot.into_mut(),
         Slot::Vacant(slot) => slot.insert(read(entry, wave.number).await?),
     };
@@ -123,16 +123,21 @@
     }
 }
 
-async fn read(entry: &Entry, number: u64) -> Result<Under, Error> {
+async fn read(entry: &Entry, number: u64) -> Result<Tracked, Error> {
     let Some(item) = entry.store.read(&keys::wave(number), DEADLINE).await? else {
-        return Ok(Under { done: Done::default(), revision: 0 });
+        return Ok(Tracked { done: Record::default(), revision: 0 });
     };
     let done = codec::unpack(&item.value).map_err(|error| Error::Malformed(error.to_string()))?;
-    Ok(Under { done, revision: item.revision })
+    Ok(Tracked { done, revision: item.revision })
 }
 
 /// Records a wave and tells the operators; only while this planner holds the duty.
-async fn write(entry: &Entry, tenure: &Tenure, number: u64, row: &mut Under) -> Result<(), Error> {
+async fn write(
+    entry: &Entry,
+    tenure: &Tenure,
+    number: u64,
+    row: &mut Tracked,
+) -> Result<(), Error> {
     let key = keys::wave(number);
     let value = codec::pack(&row.done).map_err(|error| Error::NotDone(error.to_string()))?;
     let (status, told) = operator::wave_status(number, row.done.completed);
--- a/daemon/src/batch/view.rs
+++ b/daemon/src/batch/view.rs
@@ -1,4 +1,4 @@
-//! What an entry knows of the operators' word, and how old that knowledge is.
+//! What an entry knows of the operators' configuration, and how old that knowledge is.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -200,7 +200,7 @@
     }
 }
 
-/// Follows the operators' word for as long as the process runs.
+/// Follows what operators write for as long as the process runs.
 pub async fn follow(view: Arc<View>, store: Store) {
     let mut lost = false;
     let mut from: Option<u64> = None;
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -169,10 +169,10 @@
     pub repeat: Repeat,
 }
 
-/// Where a caller's word about a job stands.
+/// What a caller wants of a job.
 #[token]
 #[derive(Default, Serialize, Deserialize)]
-pub enum Word {
+pub enum Intent {
     /// It is to run.
     #[default]
     Wanted,
@@ -194,8 +194,8 @@
     pub account: String,
     /// When it was accepted, in Unix milliseconds.
     pub accepted_ms: u64,
-    /// The caller's word.
-    pub word: Word,
+    /// What the caller wants of it.
+    pub intent: Intent,
 }
 
 /// What a caller is told of a job.
--- a/lib/src/batch/load.rs
+++ b/lib/src/batch/load.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use crate::batch::job::Id;
+use crate::batch::job::Intent;
 use crate::batch::job::Record;
-use crate::batch::job::Word;
 use crate::batch::progress;
 use crate::batch::progress::Place;
 use crate::batch::progress::Progress;
@@ -18,12 +18,12 @@
 use crate::batch::table::Work;
 use crate::clock::Millis;
 
-/// Takes in a job's record as the entries wrote it; a known job only learns its caller's word.
+/// Takes in a job's record as the entries wrote it; of a known job only the caller's intent changes.
 ///
 /// `wall_ms` is the time of day at `now`, in Unix milliseconds.
 pub fn record(tables: &mut Tables, now: Millis, wall_ms: u64, id: Id, record: Record) {
     if let Some(job) = tables.jobs.get_mut(&id) {
-        if job.record.word < record.word {
+        if job.record.intent < record.intent {
             job.record = Arc::new(record);
         }
         return;
@@ -168,11 +168,11 @@
 pub fn expire(tables: &mut Tables, wall_ms: u64) -> Vec<Id> {
     let keep = tables.bounds.keep_ms;
     let expired = |job: &Job| {
-        let ended = match job.record.word {
-            Word::Wanted => job.ended_ms,
+        let ended = match job.record.intent {
+            Intent::Wanted => job.ended_ms,
             _ => job.record.accepted_ms,
         };
-        let over = job.shown.is_some() || job.record.word != Word::Wanted;
+        let over = job.shown.is_some() || job.record.intent != Intent::Wanted;
         let idle = job
             .occurrences
             .values()
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -68,8 +68,8 @@
     pub run: u32,
     /// How it ended.
     pub ending: Ending,
-    /// The worker's word for it.
-    pub word: String,
+    /// How it ended, as the worker calls it.
+    pub how: String,
     /// Newest checkpoint; empty for none.
     pub checkpoint: String,
 }
@@ -140,9 +140,9 @@
     Leaving(String),
     /// A run began to work.
     Began(Task, u32),
-    /// A run ended, by the worker's word.
+    /// A worker listed the end of a run.
     Ended(Task, u32, String),
-    /// A run is over without the worker's word, for a reason.
+    /// A run is over though no worker listed its end, for a reason.
     Lost(Task, u32, &'static str),
     /// A run is on a worker where none is wanted.
     Stray(Task, u32),
@@ -326,7 +326,7 @@
     let gang = tables.step(task.part).is_some_and(|step| step.gang);
     let lasts = tables.step(task.part).is_some_and(|step| step.lasts);
     let Some(work) = tables.work_mut(task) else { return };
-    changes.push(Change::Ended(task, end.run, end.word.clone()));
+    changes.push(Change::Ended(task, end.run, end.how.clone()));
     let current = work.live.as_ref().is_some_and(|run| run.number == end.run && run.worker == key);
     if !end.checkpoint.is_empty() && end.run == work.run {
         work.checkpoint = end.checkpoint.clone();
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -14,12 +14,12 @@
 use crate::batch::advice;
 use crate::batch::health;
 use crate::batch::job::Id;
+use crate::batch::job::Intent;
 use crate::batch::job::Part;
 use crate::batch::job::Record;
 use crate::batch::job::State;
 use crate::batch::job::Step;
 use crate::batch::job::Task;
-use crate::batch::job::Word;
 use crate::batch::pace;
 use crate::batch::progress::Outcome;
 use crate::batch::site::Bounds;
@@ -83,9 +83,9 @@
     /// Returns the word for it in logs.
     ///
     /// ```
-    /// assert_eq!(lavendergauge_lib::batch::table::Cause::Doubt.word(), "start-in-doubt");
+    /// assert_eq!(lavendergauge_lib::batch::table::Cause::Doubt.name(), "start-in-doubt");
     /// ```
-    pub fn word(self) -> &'static str {
+    pub fn name(self) -> &'static str {
         match self {
             Cause::Cancelled => "cancelled",
             Cause::Failed => "job-failed",
@@ -239,7 +239,7 @@
         match self.shown {
             Some(Outcome::Completed) => State::Completed,
             Some(Outcome::Failed) => State::Failed,
-            None if self.record.word != Word::Wanted => State::Cancelled,
+            None if self.record.intent != Intent::Wanted => State::Cancelled,
             None if self.started => State::Running,
             None => State::Queued,
         }
@@ -247,7 +247,7 @@
 
     /// Tells whether it still wants tasks to run.
     pub fn wanted(&self) -> bool {
-        self.record.word == Word::Wanted && self.outcome.is_none()
+        self.record.intent == Intent::Wanted && self.outcome.is_none()
     }
 
     /// Marks that its record has to be written.
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -116,7 +116,7 @@
                     }
                     let part = Part { job: *id, occurrence, step: step as u16 };
                     let task = Task { part, index: index as u32 };
-                    notes.push(Note::Stopped(task, run.number, cause.word()));
+                    notes.push(Note::Stopped(task, run.number, cause.name()));
                     load::stop(work, cause);
                 }
             }
--- a/lib/src/batch/watch.rs
+++ b/lib/src/batch/watch.rs
@@ -44,7 +44,7 @@
             continue;
         }
         let key = run.worker;
-        notes.push(Note::Stopped(task, run.number, Cause::Stuck.word()));
+        notes.push(Note::Stopped(task, run.number, Cause::Stuck.name()));
         if !work.avoid.contains(&key) {
             work.avoid.push(key);
         }
@@ -68,7 +68,7 @@
         if run.phase != Phase::Running || run.seen.is_none() || need <= stays + patience {
             continue;
         }
-        notes.push(Note::Stopped(task, run.number, Cause::Leaving.word()));
+        notes.push(Note::Stopped(task, run.number, Cause::Leaving.name()));
         if let Some(work) = tables.work_mut(task) {
             load::stop(work, Cause::Leaving);
         }
--- a/lib/src/batch/wave.rs
+++ b/lib/src/batch/wave.rs
@@ -50,7 +50,7 @@
 /// What is recorded of a wave.
 #[value]
 #[derive(Default, Serialize, Deserialize)]
-pub struct Done {
+pub struct Record {
     /// Machines whose maintenance was ordered or may have been.
     pub ordered: BTreeSet<String>,
     /// Machines whose maintenance is known to have begun.
@@ -78,7 +78,7 @@
     tables: &Tables,
     now: Millis,
     wave: &Wave,
-    done: &Done,
+    done: &Record,
     machines: &BTreeMap<String, Machine>,
 ) -> Step {
     if now.since(tables.took_over) < TAKEOVER_PAUSE {
--- a/lib/tests/batch_advice.rs
+++ b/lib/tests/batch_advice.rs
@@ -1,29 +1,29 @@
 //! Steps whose workers only the advice service knows, fillers beside tasks that serve, and
 //! maintenance waves.
 
-mod batch_play;
+mod batch_sim;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use batch_play::Play;
-use batch_play::step;
+use batch_sim::Simulation;
+use batch_sim::step;
 use lavendergauge_lib::batch::advice;
 use lavendergauge_lib::batch::job::State;
 use lavendergauge_lib::batch::job::Step;
 use lavendergauge_lib::batch::pace;
 use lavendergauge_lib::batch::pace::Pace;
 use lavendergauge_lib::batch::wave;
-use lavendergauge_lib::batch::wave::Done;
 use lavendergauge_lib::batch::wave::Machine;
+use lavendergauge_lib::batch::wave::Record;
 use lavendergauge_lib::batch::wave::Standing;
 use lavendergauge_lib::batch::wave::Wave;
 use lavendergauge_lib::clock::Millis;
 
 /// Answers every question: only workers of an even number may run a step.
-fn advise(play: &mut Play, valid: Duration) -> usize {
-    let now = Millis(play.now);
-    let questions = advice::questions(&mut play.tables, now);
+fn advise(sim: &mut Simulation, valid: Duration) -> usize {
+    let now = Millis(sim.now);
+    let questions = advice::questions(&mut sim.tables, now);
     for question in &questions {
         let good: Vec<(String, String)> = question
             .workers
@@ -31,25 +31,25 @@
             .filter(|(_, id, _)| id.ends_with(['0', '2', '4', '6', '8']))
             .map(|(_, id, _)| (id.clone(), "ticket".to_owned()))
             .collect();
-        advice::answered(&mut play.tables, now, question, &good, valid);
+        advice::answered(&mut sim.tables, now, question, &good, valid);
     }
     questions.iter().map(|question| question.workers.len()).sum()
 }
 
 #[test]
 fn advised_only() {
-    let mut play = Play::new(2);
-    play.advise_queue("plain", 3000);
-    let id = play.hand_in("plain", "brno", vec![step(5, 8, 600)], 600);
-    play.run_for(400);
-    assert!(play.starts.is_empty(), "nothing starts without a ticket");
+    let mut sim = Simulation::new(2);
+    sim.advise_queue("plain", 3000);
+    let id = sim.hand_in("plain", "brno", vec![step(5, 8, 600)], 600);
+    sim.run_for(400);
+    assert!(sim.starts.is_empty(), "nothing starts without a ticket");
     let mut asked = 0;
     for _ in 0..200 {
-        asked += advise(&mut play, Duration::from_secs(3));
-        play.run_for(20);
+        asked += advise(&mut sim, Duration::from_secs(3));
+        sim.run_for(20);
     }
-    assert_eq!(play.state(id), Some(State::Completed));
-    for (_, _, _, node) in &play.starts {
+    assert_eq!(sim.state(id), Some(State::Completed));
+    for (_, _, _, node) in &sim.starts {
         assert!(node.ends_with(['0', '2', '4']), "{node} was not advised");
     }
     assert!(asked <= 6 + 3 * 3, "each worker is asked about once, and again when tickets end");
@@ -57,28 +57,28 @@
 
 #[test]
 fn tickets_end() {
-    let mut play = Play::new(1);
-    play.advise_queue("plain", 1000);
-    play.hand_in("plain", "brno", vec![step(1, 1, 600)], 600);
-    play.run_for(40);
-    advise(&mut play, Duration::from_millis(300));
-    play.run_for(1000);
-    assert!(play.starts.is_empty(), "a ticket that ends on the order's way is not used");
+    let mut sim = Simulation::new(1);
+    sim.advise_queue("plain", 1000);
+    sim.hand_in("plain", "brno", vec![step(1, 1, 600)], 600);
+    sim.run_for(40);
+    advise(&mut sim, Duration::from_millis(300));
+    sim.run_for(1000);
+    assert!(sim.starts.is_empty(), "a ticket that ends on the order's way is not used");
 }
 
 #[test]
 fn unanswered_question() {
-    let mut play = Play::new(1);
-    play.advise_queue("plain", 1000);
-    play.hand_in("plain", "brno", vec![step(1, 1, 600)], 600);
-    play.run_for(40);
-    let now = Millis(play.now);
-    let questions = advice::questions(&mut play.tables, now);
+    let mut sim = Simulation::new(1);
+    sim.advise_queue("plain", 1000);
+    sim.hand_in("plain", "brno", vec![step(1, 1, 600)], 600);
+    sim.run_for(40);
+    let now = Millis(sim.now);
+    let questions = advice::questions(&mut sim.tables, now);
     assert_eq!(questions.len(), 1);
-    advice::failed(&mut play.tables, now, questions[0].part);
-    assert!(advice::questions(&mut play.tables, now).is_empty(), "not again at once");
-    play.run_for(1000);
-    assert_eq!(advice::questions(&mut play.tables, Millis(play.now)).len(), 1);
+    advice::failed(&mut sim.tables, now, questions[0].part);
+    assert!(advice::questions(&mut sim.tables, now).is_empty(), "not again at once");
+    sim.run_for(1000);
+    assert_eq!(advice::questions(&mut sim.tables, Millis(sim.now)).len(), 1);
 }
 
 #[test]
@@ -102,15 +102,15 @@
 
 #[test]
 fn filler_beside_service() {
-    let mut play = Play::new(1);
+    let mut sim = Simulation::new(1);
     let serves = Step { lasts: true, tail_ms: 50, ..step(3, 0, 1000) };
-    play.hand_in("plain", "brno", vec![serves], 100_000);
+    sim.hand_in("plain", "brno", vec![serves], 100_000);
     let fills = Step { fills: true, ..step(6, 0, 2000) };
-    let id = play.hand_in("patient", "brno", vec![fills], 2000);
-    play.run_for(300);
-    assert!(play.paced.iter().any(|(_, percent)| *percent < 100), "told to go slow at once");
-    play.run_for(5000);
-    assert_eq!(play.state(id), Some(State::Completed));
+    let id = sim.hand_in("patient", "brno", vec![fills], 2000);
+    sim.run_for(300);
+    assert!(sim.paced.iter().any(|(_, percent)| *percent < 100), "told to go slow at once");
+    sim.run_for(5000);
+    assert_eq!(sim.state(id), Some(State::Completed));
 }
 
 fn machines(standings: &[Standing]) -> BTreeMap<String, Machine> {
@@ -124,18 +124,18 @@
 
 #[test]
 fn wave_in_turn() {
-    let mut play = Play::new(1);
-    play.hand_in("plain", "brno", vec![step(1, 8, 9000)], 9000);
-    play.run_for(4000);
-    let busy = play.starts[0].3.replace("side", "m");
+    let mut sim = Simulation::new(1);
+    sim.hand_in("plain", "brno", vec![step(1, 8, 9000)], 9000);
+    sim.run_for(4000);
+    let busy = sim.starts[0].3.replace("side", "m");
     let names: Vec<String> = (0..3).map(|index| format!("m-{index}")).collect();
     let wave = Wave { number: 1, machines: names, most: 1 };
-    let mut done = Done::default();
+    let mut done = Record::default();
     let mut order = Vec::new();
     let mut standings = [Standing::Up; 3];
     for _ in 0..10 {
-        let now = Millis(play.now);
-        match wave::next(&play.tables, now, &wave, &done, &machines(&standings)) {
+        let now = Millis(sim.now);
+        match wave::next(&sim.tables, now, &wave, &done, &machines(&standings)) {
             wave::Step::Order(chosen) => {
                 assert_eq!(chosen.len(), 1, "one at a time");
                 order.extend(chosen.iter().cloned());
@@ -155,21 +155,21 @@
 #[test]
 fn wave_in_doubt() {
     // An order that may have been carried out is repeated before anything else is done.
-    let mut play = Play::new(1);
-    play.run_for(4000);
+    let mut sim = Simulation::new(1);
+    sim.run_for(4000);
     let wave = Wave { number: 1, machines: vec!["m-0".into(), "m-1".into()], most: 1 };
-    let done = Done { ordered: ["m-1".to_owned()].into(), ..Done::default() };
+    let done = Record { ordered: ["m-1".to_owned()].into(), ..Record::default() };
     let standings = [Standing::Up, Standing::Up];
-    let step = wave::next(&play.tables, Millis(play.now), &wave, &done, &machines(&standings));
+    let step = wave::next(&sim.tables, Millis(sim.now), &wave, &done, &machines(&standings));
     assert_eq!(step, wave::Step::Order(vec!["m-1".into()]));
 }
 
 #[test]
 fn wave_after_takeover() {
-    let mut play = Play::new(1);
-    play.take_over();
+    let mut sim = Simulation::new(1);
+    sim.take_over();
     let wave = Wave { number: 1, machines: vec!["m-0".into()], most: 1 };
     let all = machines(&[Standing::Up]);
-    let step = wave::next(&play.tables, Millis(play.now), &wave, &Done::default(), &all);
+    let step = wave::next(&sim.tables, Millis(sim.now), &wave, &Record::default(), &all);
     assert_eq!(step, wave::Step::Wait, "the holder before may still be acting");
 }
--- a/lib/tests/batch_load.rs
+++ b/lib/tests/batch_load.rs
@@ -1,9 +1,9 @@
 //! What callers get under load: guarantees in time, no starving, no service for the hopeless.
 
-mod batch_play;
+mod batch_sim;
 
-use batch_play::Play;
-use batch_play::step;
+use batch_sim::Simulation;
+use batch_sim::step;
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::Step;
 use rand::RngExt;
@@ -18,7 +18,7 @@
 }
 
 /// Plays half a minute of mixed jobs at a load; returns the guaranteed jobs.
-fn mixed(play: &mut Play, rng: &mut SmallRng, seconds: u64, large_each_ms: u64) -> Vec<Id> {
+fn mixed(sim: &mut Simulation, rng: &mut SmallRng, seconds: u64, large_each_ms: u64) -> Vec<Id> {
     let mut guaranteed = Vec::new();
     let mut pressing: Option<Id> = None;
     for tick in 0..seconds * 10 {
@@ -28,22 +28,22 @@
             let width = rng.random_range(1..4);
             let work = rng.random_range(4000..9000);
             let gang = Step { gang: true, ..step(width, accelerators, work) };
-            play.hand_in("plain", "praha", vec![gang], work);
+            sim.hand_in("plain", "praha", vec![gang], work);
         }
         if at % 6000 == 0 {
             let patient = Step { checkpoints: true, ..step(20, 1, 9000) };
-            play.hand_in("patient", "praha", vec![patient], 9000);
+            sim.hand_in("patient", "praha", vec![patient], 9000);
         }
         // One job at a time, within the account's 24 accelerators.
-        let over = pressing.is_none_or(|id| play.handed[&id].ended.is_some());
+        let over = pressing.is_none_or(|id| sim.handed[&id].ended.is_some());
         if over && at % 1500 == 0 {
             let width = rng.random_range(1..4);
             let gang = Step { gang: true, ..step(width, sizes(rng), 2000) };
-            let id = play.hand_in("urgent", "brno", vec![gang], 2000);
+            let id = sim.hand_in("urgent", "brno", vec![gang], 2000);
             guaranteed.push(id);
             pressing = Some(id);
         }
-        play.run_for(100);
+        sim.run_for(100);
     }
     guaranteed
 }
@@ -52,11 +52,11 @@
 fn guarantee_in_time() {
     for seed in 0..12 {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut play = Play::new(3);
-        let guaranteed = mixed(&mut play, &mut rng, 30, 900);
-        play.run_for(RECLAIM_MS);
+        let mut sim = Simulation::new(3);
+        let guaranteed = mixed(&mut sim, &mut rng, 30, 900);
+        sim.run_for(RECLAIM_MS);
         for id in guaranteed {
-            let started = play.all_started(id);
+            let started = sim.all_started(id);
             assert!(
                 started.is_some_and(|ms| ms <= RECLAIM_MS),
                 "seed {seed}: {id} started after {started:?} ms"
@@ -69,13 +69,13 @@
 fn nothing_starves() {
     for seed in 100..106 {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut play = Play::new(3);
+        let mut sim = Simulation::new(3);
         let large = Step { gang: true, ..step(6, 8, 5000) };
-        mixed(&mut play, &mut rng, 8, 1500);
-        let large = play.hand_in("plain", "brno", vec![large], 5000);
-        mixed(&mut play, &mut rng, 20, 1500);
-        assert!(play.run_until_ended(120_000), "seed {seed}: all jobs end once no more come");
-        assert!(play.handed[&large].ended.is_some(), "seed {seed}");
+        mixed(&mut sim, &mut rng, 8, 1500);
+        let large = sim.hand_in("plain", "brno", vec![large], 5000);
+        mixed(&mut sim, &mut rng, 20, 1500);
+        assert!(sim.run_until_ended(120_000), "seed {seed}: all jobs end once no more come");
+        assert!(sim.handed[&large].ended.is_some(), "seed {seed}");
     }
 }
 
@@ -83,51 +83,51 @@
 fn takeovers_under_load() {
     for seed in 200..206 {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut play = Play::new(3);
+        let mut sim = Simulation::new(3);
         for _ in 0..6 {
-            mixed(&mut play, &mut rng, 4, 1200);
-            play.take_over();
-            let index = rng.random_range(0..play.workers.len());
+            mixed(&mut sim, &mut rng, 4, 1200);
+            sim.take_over();
+            let index = rng.random_range(0..sim.workers.len());
             match rng.random_range(0..4) {
-                0 => play.restart(index),
-                1 => play.workers[index].reachable = !play.workers[index].reachable,
-                2 => play.workers[index].mute = !play.workers[index].mute,
-                _ => play.workers[index].hangs = !play.workers[index].hangs,
+                0 => sim.restart(index),
+                1 => sim.workers[index].reachable = !sim.workers[index].reachable,
+                2 => sim.workers[index].mute = !sim.workers[index].mute,
+                _ => sim.workers[index].hangs = !sim.workers[index].hangs,
             }
         }
-        for worker in &mut play.workers {
+        for worker in &mut sim.workers {
             worker.reachable = true;
             worker.mute = false;
             worker.hangs = false;
         }
-        assert!(play.run_until_ended(180_000), "seed {seed}: all jobs end");
+        assert!(sim.run_until_ended(180_000), "seed {seed}: all jobs end");
     }
 }
 
 #[test]
 fn nearly_done() {
     // Work that is about to end is waited for rather than thrown away, where there is time.
-    let mut play = Play::new(1);
+    let mut sim = Simulation::new(1);
     for _ in 0..3 {
-        play.hand_in("plain", "praha", vec![step(1, 8, 3000)], 3000);
+        sim.hand_in("plain", "praha", vec![step(1, 8, 3000)], 3000);
     }
-    play.run_for(2700);
-    let urgent = play.hand_in("urgent", "brno", vec![step(1, 8, 2000)], 2000);
-    play.run_for(1200);
-    assert!(play.all_started(urgent).is_some_and(|ms| ms <= 600));
-    assert_eq!(play.wasted_ms, 0);
+    sim.run_for(2700);
+    let urgent = sim.hand_in("urgent", "brno", vec![step(1, 8, 2000)], 2000);
+    sim.run_for(1200);
+    assert!(sim.all_started(urgent).is_some_and(|ms| ms <= 600));
+    assert_eq!(sim.wasted_ms, 0);
 }
 
 #[test]
 fn costly_room() {
     // Beyond its guarantee, an urgent job stops no more work of others than it brings.
-    let mut play = Play::new(1);
+    let mut sim = Simulation::new(1);
     for _ in 0..3 {
-        play.hand_in("plain", "praha", vec![step(1, 8, 20_000)], 20_000);
+        sim.hand_in("plain", "praha", vec![step(1, 8, 20_000)], 20_000);
     }
-    play.run_for(9000);
-    let urgent = play.hand_in("urgent", "praha", vec![step(3, 8, 2000)], 2000);
-    play.run_for(3000);
-    assert_eq!(play.all_started(urgent), None);
-    assert_eq!(play.wasted_ms, 0);
+    sim.run_for(9000);
+    let urgent = sim.hand_in("urgent", "praha", vec![step(3, 8, 2000)], 2000);
+    sim.run_for(3000);
+    assert_eq!(sim.all_started(urgent), None);
+    assert_eq!(sim.wasted_ms, 0);
 }
--- a/lib/tests/batch_place.rs
+++ b/lib/tests/batch_place.rs
@@ -1,86 +1,86 @@
 //! Where tasks are placed, and what space is kept.
 
-mod batch_play;
+mod batch_sim;
 
-use batch_play::Play;
-use batch_play::step;
+use batch_sim::Simulation;
+use batch_sim::step;
 use lavendergauge_lib::batch::job::State;
 use lavendergauge_lib::batch::job::Step;
 
 #[test]
 fn kept_space() {
     // Urgent jobs that have to wait for others to leave must not start before they have left.
-    let mut play = Play::new(1);
+    let mut sim = Simulation::new(1);
     for _ in 0..3 {
-        play.hand_in("plain", "praha", vec![step(1, 8, 9000)], 9000);
+        sim.hand_in("plain", "praha", vec![step(1, 8, 9000)], 9000);
     }
-    play.run_for(1000);
-    let urgent = play.hand_in("urgent", "brno", vec![step(3, 8, 1000)], 1000);
-    let later = play.hand_in("urgent", "praha", vec![step(1, 8, 1000)], 1000);
-    play.run_for(3000);
-    assert_eq!(play.state(urgent), Some(State::Completed));
-    assert!(play.run_until_ended(60_000), "{later:?}");
+    sim.run_for(1000);
+    let urgent = sim.hand_in("urgent", "brno", vec![step(3, 8, 1000)], 1000);
+    let later = sim.hand_in("urgent", "praha", vec![step(1, 8, 1000)], 1000);
+    sim.run_for(3000);
+    assert_eq!(sim.state(urgent), Some(State::Completed));
+    assert!(sim.run_until_ended(60_000), "{later:?}");
 }
 
 #[test]
 fn partly_placed() {
     // Space that was kept for all tasks of a step is given back once some of them run.
-    let mut play = Play::new(1);
-    play.hand_in("plain", "praha", vec![step(1, 8, 4000)], 4000);
-    play.hand_in("plain", "praha", vec![step(1, 8, 20_000)], 20_000);
-    play.hand_in("plain", "praha", vec![step(1, 8, 20_000)], 20_000);
-    play.run_for(500);
-    let urgent = play.hand_in("urgent", "brno", vec![step(2, 8, 2000)], 2000);
-    play.run_for(1600);
-    assert!(play.all_started(urgent).is_some_and(|ms| ms < 1500), "{:?}", play.all_started(urgent));
+    let mut sim = Simulation::new(1);
+    sim.hand_in("plain", "praha", vec![step(1, 8, 4000)], 4000);
+    sim.hand_in("plain", "praha", vec![step(1, 8, 20_000)], 20_000);
+    sim.hand_in("plain", "praha", vec![step(1, 8, 20_000)], 20_000);
+    sim.run_for(500);
+    let urgent = sim.hand_in("urgent", "brno", vec![step(2, 8, 2000)], 2000);
+    sim.run_for(1600);
+    assert!(sim.all_started(urgent).is_some_and(|ms| ms < 1500), "{:?}", sim.all_started(urgent));
 }
 
 #[test]
 fn one_rack() {
-    let mut play = Play::new(3);
+    let mut sim = Simulation::new(3);
     let gang = Step { gang: true, same_rack: true, ..step(6, 4, 1000) };
-    let id = play.hand_in("plain", "brno", vec![gang], 1000);
-    play.run_for(200);
-    let racks: std::collections::BTreeSet<String> = play
+    let id = sim.hand_in("plain", "brno", vec![gang], 1000);
+    sim.run_for(200);
+    let racks: std::collections::BTreeSet<String> = sim
         .starts
         .iter()
         .filter(|(_, task, _, _)| task.part.job == id)
-        .map(|(_, _, _, node)| play.workers.iter().find(|w| w.node == *node).unwrap().rack.clone())
+        .map(|(_, _, _, node)| sim.workers.iter().find(|w| w.node == *node).unwrap().rack.clone())
         .collect();
     assert_eq!(racks.len(), 1);
 }
 
 #[test]
 fn data_rack() {
-    let mut play = Play::new(3);
+    let mut sim = Simulation::new(3);
     let near = Step { data_rack: "r-2".into(), ..step(4, 2, 1000) };
-    play.hand_in("plain", "brno", vec![near], 1000);
-    play.run_for(200);
-    assert_eq!(play.starts.len(), 4);
-    for (_, task, _, node) in &play.starts {
-        let rack = &play.workers.iter().find(|w| w.node == *node).unwrap().rack;
+    sim.hand_in("plain", "brno", vec![near], 1000);
+    sim.run_for(200);
+    assert_eq!(sim.starts.len(), 4);
+    for (_, task, _, node) in &sim.starts {
+        let rack = &sim.workers.iter().find(|w| w.node == *node).unwrap().rack;
         assert_eq!(rack, "r-2", "{task}");
     }
 }
 
 #[test]
 fn spread_limit() {
-    let mut play = Play::new(1);
+    let mut sim = Simulation::new(1);
     let apart = Step { spread: 1, ..step(5, 1, 1000) };
-    play.hand_in("plain", "brno", vec![apart], 1000);
-    play.run_for(400);
-    assert_eq!(play.starts.len(), 3, "one on each of three workers");
-    assert!(play.run_until_ended(10_000));
+    sim.hand_in("plain", "brno", vec![apart], 1000);
+    sim.run_for(400);
+    assert_eq!(sim.starts.len(), 3, "one on each of three workers");
+    assert!(sim.run_until_ended(10_000));
 }
 
 #[test]
 fn label_wanted() {
-    let mut play = Play::new(2);
+    let mut sim = Simulation::new(2);
     let picky = Step { label: "r-1".into(), ..step(2, 8, 500) };
-    play.hand_in("plain", "brno", vec![picky], 500);
-    assert!(play.run_until_ended(5000));
+    sim.hand_in("plain", "brno", vec![picky], 500);
+    assert!(sim.run_until_ended(5000));
     assert!(
-        play.starts
+        sim.starts
             .iter()
             .all(|(_, _, _, node)| ["side-3", "side-4", "side-5"].contains(&node.as_str()))
     );
@@ -88,13 +88,13 @@
 
 #[test]
 fn steps_in_order() {
-    let mut play = Play::new(1);
+    let mut sim = Simulation::new(1);
     let second = Step { after: [0].into_iter().collect(), ..step(2, 1, 500) };
-    let id = play.hand_in("plain", "brno", vec![step(3, 1, 500), second], 500);
-    assert!(play.run_until_ended(5000));
+    let id = sim.hand_in("plain", "brno", vec![step(3, 1, 500), second], 500);
+    assert!(sim.run_until_ended(5000));
     let begun = |step: u16| {
-        play.starts.iter().filter(move |(_, task, _, _)| task.part.step == step).map(|s| s.0)
+        sim.starts.iter().filter(move |(_, task, _, _)| task.part.step == step).map(|s| s.0)
     };
     assert!(begun(0).max().unwrap() + 500 <= begun(1).min().unwrap());
-    assert_eq!(play.state(id), Some(State::Completed));
+    assert_eq!(sim.state(id), Some(State::Completed));
 }
--- a/lib/tests/batch_play/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -1,7 +1,7 @@
-//! A fleet of make-believe workers around the planner's tables, on a clock of its own.
+//! Simulated workers around the planner's tables, on a clock of their own.
 //!
 //! It plays a load against the decisions and checks at every moment what must never happen: a
-//! worker over its capacity, two runs of one task at a time, part of a gang at work.
+//! worker over its capacity, and two runs of one task at a time.
 
 #![allow(dead_code)]
 
@@ -11,12 +11,12 @@
 
 use lavendergauge_lib::batch::dispatch;
 use lavendergauge_lib::batch::job::Id;
+use lavendergauge_lib::batch::job::Intent;
 use lavendergauge_lib::batch::job::Record;
 use lavendergauge_lib::batch::job::State;
 use lavendergauge_lib::batch::job::Step;
 use lavendergauge_lib::batch::job::Submission;
 use lavendergauge_lib::batch::job::Task;
-use lavendergauge_lib::batch::job::Word;
 use lavendergauge_lib::batch::load;
 use lavendergauge_lib::batch::observe;
 use lavendergauge_lib::batch::observe::Announcement;
@@ -39,14 +39,14 @@
 use lavendergauge_lib::batch::tick;
 use lavendergauge_lib::clock::Millis;
 
-/// Length of one step of the play, in milliseconds.
+/// Length of one step of the simulation, in milliseconds.
 pub const STEP_MS: u64 = 20;
-/// Time of day at the play's start, in Unix milliseconds.
+/// Time of day at the simulation's start, in Unix milliseconds.
 const WALL_MS: u64 = 1_700_000_000_000;
 /// Longest time that a stopped task takes to end.
 const STOP_MS: u64 = 400;
 
-/// A run on a make-believe worker.
+/// A run on a simulated worker.
 #[derive(Clone, Debug)]
 pub struct Run {
     pub run: u32,
@@ -55,7 +55,7 @@
     pub stops_at: Option<u64>,
 }
 
-/// A make-believe worker.
+/// A simulated worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
     pub node: String,
@@ -90,8 +90,8 @@
     pub ended: Option<u64>,
 }
 
-/// The play.
-pub struct Play {
+/// A simulation.
+pub struct Simulation {
     pub now: u64,
     pub tables: Tables,
     pub fence: u64,
@@ -108,7 +108,7 @@
     next: u64,
 }
 
-/// A queue of the play.
+/// A queue of the simulation.
 pub fn queue(name: &str, priority: u32, stretch_permille: u64) -> Queue {
     Queue {
         name: name.to_owned(),
@@ -126,9 +126,9 @@
     Step { tasks, accelerators, processors: 1000, memory_mb: 1024, estimate_ms, ..Step::default() }
 }
 
-impl Play {
+impl Simulation {
     /// `racks` racks of three workers with eight accelerators each.
-    pub fn new(racks: usize) -> Play {
+    pub fn new(racks: usize) -> Simulation {
         let config = Config {
             version: 1,
             queues: vec![
@@ -161,7 +161,7 @@
                 answers: true,
             })
             .collect();
-        let mut play = Play {
+        let mut sim = Simulation {
             now: 100_000,
             tables: Tables::new(bounds(), Millis(100_000)),
             fence: 1,
@@ -177,8 +177,8 @@
             paced: Vec::new(),
             next: 1,
         };
-        play.run_for(200);
-        play
+        sim.run_for(200);
+        sim
     }
 
     /// Makes a queue need advice, with tickets that live for a while.
@@ -200,14 +200,14 @@
     ) -> Id {
         let id = Id(self.next);
         self.next += 1;
-        let queue = self.config.queue(queue_name).cloned().expect("a queue of the play");
+        let queue = self.config.queue(queue_name).cloned().expect("a queue of the simulation");
         let objective_ms = work_ms * queue.stretch_permille / 1000 + queue.target_ms;
         let record = Record {
             submission: Submission { payload: "p".into(), steps, ..Submission::default() },
             queue,
             account: account.to_owned(),
             accepted_ms: self.wall(),
-            word: Word::Wanted,
+            intent: Intent::Wanted,
         };
         self.records.insert(id, record.clone());
         self.handed.insert(id, Handed { at: self.now, work_ms, objective_ms, ended: None });
@@ -218,8 +218,8 @@
 
     /// Cancels a job.
     pub fn cancel(&mut self, id: Id) {
-        let record = self.records.get_mut(&id).expect("a job of the play");
-        record.word = Word::Cancelled;
+        let record = self.records.get_mut(&id).expect("a job of the simulation");
+        record.intent = Intent::Cancelled;
         let record = record.clone();
         let wall = self.wall();
         load::record(&mut self.tables, Millis(self.now), wall, id, record);
@@ -305,7 +305,7 @@
                     task,
                     run: run.run,
                     ending,
-                    word: word.to_owned(),
+                    how: word.to_owned(),
                     checkpoint: String::new(),
                 });
             }
@@ -539,7 +539,7 @@
     }
 }
 
-/// The bounds of the play.
+/// The bounds of the simulation.
 pub fn bounds() -> Bounds {
     Bounds { stop_grace_ms: 400, remote_permille: 3000, reclaim_ms: 2900, keep_ms: 120_000 }
 }
