ingress: a job's identifier belongs to its client account

A repeat under another account's key was answered 200, as if that account's job had been accepted. It is refused with 403 now; fleet_path::foreign_job failed on POST before.

--- a/daemon/src/batch/ingress.rs
+++ b/daemon/src/batch/ingress.rs
@@ -271,6 +271,7 @@
                         return Err(Refusal::NotStored);
                     };
                     if known.intent != Intent::Unknown {
+                        owned(&admitted, &known.account)?;
                         doubt.settled(id);
                         notify(entry, id, known);
                         return Ok(Success::Accepted);
