load: forget only the jobs that are removed from the store

Found on reading the whole change: the keeper forgot every expired job in its tables and removed the keys of at most 14 from the store; the rest stayed there until the next tenure. The bound is given to load::expire now; batch_runs::forgotten_in_parts is new, it did not compile before. load::stopping was called by nobody and is gone.

--- a/daemon/src/batch/keeper.rs
+++ b/daemon/src/batch/keeper.rs
@@ -95,8 +95,7 @@
 /// Forgets jobs that ended long ago.
 fn expire(planner: &Planner) -> Vec<String> {
     let mut tables = planner.tables();
-    let mut ids = load::expire(&mut tables, clock::wall_ms());
-    ids.truncate(EXPIRE_MOST);
+    let ids = load::expire(&mut tables, clock::wall_ms(), EXPIRE_MOST);
     ids.iter().flat_map(|id| [keys::job(*id), keys::progress(*id)]).collect()
 }
 
--- a/lib/src/batch/load.rs
+++ b/lib/src/batch/load.rs
@@ -164,8 +164,9 @@
     }
 }
 
-/// Forgets jobs that ended longer ago than their state has to be kept, and returns them.
-pub fn expire(tables: &mut Tables, wall_ms: u64) -> Vec<Id> {
+/// Forgets jobs that ended longer ago than their state has to be kept, at most so many at once,
+/// and returns them.
+pub fn expire(tables: &mut Tables, wall_ms: u64, most: usize) -> Vec<Id> {
     let keep = tables.bounds.keep_ms;
     let expired = |job: &Job| {
         let ended = match job.record.intent {
@@ -180,7 +181,7 @@
         over && idle && ended + keep < wall_ms
     };
     let ids: Vec<Id> =
-        tables.jobs.iter().filter(|(_, job)| expired(job)).map(|(id, _)| *id).collect();
+        tables.jobs.iter().filter(|(_, job)| expired(job)).map(|(id, _)| *id).take(most).collect();
     for id in &ids {
         tables.jobs.remove(id);
         tables.dirty.remove(id);
@@ -188,14 +189,6 @@
     ids
 }
 
-/// Tells whether every run of a job is told to stop or over.
-pub fn stopping(job: &Job) -> bool {
-    job.occurrences
-        .values()
-        .flat_map(|occurrence| occurrence.steps.iter().flatten())
-        .all(|work| work.live.as_ref().is_none_or(|run| matches!(run.phase, Phase::Stopping(_))))
-}
-
 /// Marks a run to be stopped; one that was never ordered is over at once.
 pub fn stop(work: &mut Work, cause: Cause) {
     let Some(run) = &mut work.live else { return };
--- a/lib/tests/batch_runs.rs
+++ b/lib/tests/batch_runs.rs
@@ -8,6 +8,7 @@
 use batch_sim::step;
 use lavendergauge_lib::batch::job::State;
 use lavendergauge_lib::batch::job::Step;
+use lavendergauge_lib::batch::load;
 use lavendergauge_lib::batch::table;
 
 #[test]
@@ -198,3 +199,15 @@
     let on_it = sim.starts.iter().filter(|(_, _, _, node)| node == "side-0").count();
     assert_eq!(on_it, 1, "one failure was enough");
 }
+
+#[test]
+fn forgotten_in_parts() {
+    // Only what is returned to be removed from the store is forgotten.
+    let mut sim = Simulation::new(1);
+    for _ in 0..5 {
+        sim.hand_in("plain", "brno", vec![step(1, 1, 200)], 200);
+    }
+    assert!(sim.run_until_ended(5000));
+    let gone = load::expire(&mut sim.tables, u64::MAX, 2);
+    assert_eq!((gone.len(), sim.tables.jobs.len()), (2, 3));
+}
