ingress: a call that comes before the configuration is not too long

Cause: an entry without a configuration took 1 KiB for the most bytes of a body, and answered a larger job with 413, which callers take for final. Ruled out: the configured limit, which the other entries applied to the same job. Mend: until a configuration is known the limit is what the store holds in one value, and the call is refused as not accepted. fleet_path::config_unknown got 413 before, and gets 503.

--- a/daemon/src/batch/ingress.rs
+++ b/daemon/src/batch/ingress.rs
@@ -54,6 +54,9 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(250);
 /// Least time that a call is worked on.
 const LEAST_TIME: Duration = Duration::from_millis(100);
+/// Most bytes of a call's body while no configuration is known: what the store holds in one value.
+/// Such a call is refused as not accepted, so that its caller may come again.
+const UNKNOWN_BODY_LIMIT: usize = 1 << 20;
 /// Deadline of one call to the store.
 const STORE_DEADLINE: Duration = Duration::from_millis(800);
 /// Pause before a job's state is read again.
@@ -114,14 +117,19 @@
         key: key.strip_prefix("Bearer ").unwrap_or_default().trim().to_owned(),
         until: begun + waits.saturating_sub(DEADLINE_MARGIN).max(LEAST_TIME),
     };
-    let limit = entry.view.known().config.body_limit.max(1 << 10);
-    let outcome = match body::receive(incoming, limit).await {
+    let outcome = match body::receive(incoming, body_limit(&entry)).await {
         Ok(bytes) => handle(&entry, &call, bytes).await,
         Err(_) => Err(Refusal::TooLong),
     };
     finish(&entry, &call, begun, outcome)
 }
 
+/// Returns the most bytes of a call's body.
+fn body_limit(entry: &Entry) -> usize {
+    let known = entry.view.known();
+    if known.revision == 0 { UNKNOWN_BODY_LIMIT } else { known.config.body_limit }
+}
+
 fn finish(
     entry: &Entry,
     call: &Call,
