--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -263,7 +263,7 @@
     let store = Store::new(&agent.settings.store_address);
     let put = Put {
         key: format!("{}{}", keys::AGENTS, agent.name),
-        value: agent.settings.peer_address.clone().into(),
+        value: agent.settings.advertised_address.clone().into(),
         lease: 0,
     };
     let transaction = Transaction { puts: vec![put], ..Transaction::default() };
@@ -271,7 +271,7 @@
     loop {
         match store.commit(&transaction, REGISTER_DEADLINE).await {
             Ok(_) => {
-                log::info!("event=registered address={}", agent.settings.peer_address);
+                log::info!("event=registered address={}", agent.settings.advertised_address);
                 return;
             }
             Err(error) => {
--- a/daemon/src/batch/lead.rs
+++ b/daemon/src/batch/lead.rs
@@ -129,7 +129,7 @@
 
 /// Takes in who holds the duty; returns its lease when the holder is dead for certain.
 ///
-/// It is when it listened at this entry's own address, which only one process can.
+/// It is when it was reached at this entry's own address, where only one process listens.
 fn note(entry: &Entry, item: &Item) -> Option<u64> {
     match codec::unpack::<Leader>(&item.value) {
         Ok(leader) => {
@@ -138,8 +138,8 @@
                 log::info!("event=planner-known planner={} fence={}", leader.name, item.created);
                 entry.leader.send_replace(Some(leader.clone()));
             }
-            let predecessor =
-                leader.address == entry.settings.peer_address && leader.session != entry.session;
+            let predecessor = leader.address == entry.settings.advertised_address
+                && leader.session != entry.session;
             predecessor.then_some(leader.lease)
         }
         Err(cause) => {
@@ -179,7 +179,7 @@
     let lease = entry.store.grant(LEASE, DEADLINE).await?;
     let leader = Leader {
         name: entry.name.clone(),
-        address: entry.settings.peer_address.clone(),
+        address: entry.settings.advertised_address.clone(),
         session: entry.session,
         lease,
     };
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -82,8 +82,10 @@
     pub service_address: String,
     /// Address of the health check of callers' balancer.
     pub ready_address: String,
-    /// Address that the fleet's processes reach this one at.
+    /// Address that calls of the fleet's processes come to.
     pub peer_address: String,
+    /// Address under which the fleet's processes reach this one.
+    pub advertised_address: String,
     /// Address of the platform's store.
     pub store_address: String,
     /// Address of the platform's service of machines; empty for none.
@@ -101,8 +103,10 @@
 pub struct BatchAgent {
     /// Address that the worker's heartbeats come to.
     pub heartbeat_address: String,
-    /// Address that the fleet's processes reach this one at.
+    /// Address that calls of the fleet's processes come to.
     pub peer_address: String,
+    /// Address under which the fleet's processes reach this one.
+    pub advertised_address: String,
     /// Address of the platform's store.
     pub store_address: String,
     /// Address of the worker.
@@ -316,11 +320,18 @@
     (number::<f64>(file, "batch", name) * scale).round() as u64
 }
 
+/// Returns the address that others are told, which is the one listened on unless another is set.
+fn advertised(file: &File) -> String {
+    let set = text_of(file, "batch", "advertised_address");
+    if set.is_empty() { text_of(file, "batch", "peer_address") } else { set }
+}
+
 fn batch_entry(file: &File) -> BatchEntry {
     BatchEntry {
         service_address: text_of(file, "batch", "service_address"),
         ready_address: text_of(file, "batch", "ready_address"),
         peer_address: text_of(file, "batch", "peer_address"),
+        advertised_address: advertised(file),
         store_address: text_of(file, "batch", "store_address"),
         machines_address: text_of(file, "batch", "machines_address"),
         bounds: Bounds {
@@ -338,6 +349,7 @@
     BatchAgent {
         heartbeat_address: text_of(file, "batch", "heartbeat_address"),
         peer_address: text_of(file, "batch", "peer_address"),
+        advertised_address: advertised(file),
         store_address: text_of(file, "batch", "store_address"),
         worker_address: text_of(file, "batch", "worker_address"),
         service: text_of(file, "batch", "service"),
