soak: real processes under faults from outside, judged by what callers and workers see

A seed draws load and faults: signals to processes, links that are late, cut, reset or silent, a store and workers that misbehave, changes by operators. The judge keeps its own book and has a planted breach of each promise as its test.

--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,157 @@
+//! Runs the soak from the command line.
+
+use std::fmt::Display;
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use lavendergauge_derive::value;
+use lavendergauge_soak::fault::Shape;
+use lavendergauge_soak::report;
+use lavendergauge_soak::run;
+use lavendergauge_soak::run::Options;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
+
+/// Threads of the soak itself: callers, stand-ins and links.
+const THREADS: usize = 2;
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    let parser = value_parser!(u64).range(0..=1_000_000_000);
+    Arg::new(name).long(name).value_name("N").default_value(default).value_parser(parser).help(help)
+}
+
+fn command() -> Command {
+    let program = Arg::new("program")
+        .long("program")
+        .value_name("FILE")
+        .default_value("target/release/lavendergauged")
+        .value_parser(value_parser!(PathBuf))
+        .help("The daemon's program");
+    let directory = Arg::new("directory")
+        .long("directory")
+        .value_name("DIR")
+        .default_value("target/soak")
+        .value_parser(value_parser!(PathBuf))
+        .help("Where settings, logs and reports go, a folder a seed");
+    Command::new("soak")
+        .about("Runs the daemon's processes under faults and judges what callers and workers see")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(program)
+        .arg(directory)
+        .arg(number("seed", "1", "First seed"))
+        .arg(number("seeds", "1", "How many seeds to run, one after the other"))
+        .arg(number("seconds", "25", "How long load and faults last"))
+        .arg(number("entries", "3", "Entries of the fleet"))
+        .arg(number("workers", "6", "Workers of the fleet, each with an agent"))
+        .arg(number("callers", "5", "Callers"))
+        .arg(
+            Arg::new("again")
+                .long("again")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Runs the cases of a file instead: seed, seconds, entries, workers, callers, cause"),
+        )
+}
+
+/// Size and seed of one run.
+#[value]
+#[derive(Copy)]
+struct Case {
+    seed: u64,
+    seconds: u64,
+    entries: u64,
+    workers: u64,
+    callers: u64,
+}
+
+/// Reads a case; the words after its numbers say what its cause was.
+fn case(line: &str) -> Option<Case> {
+    let mut words = line.split_whitespace();
+    let mut next = || words.next()?.parse().ok();
+    Some(Case {
+        seed: next()?,
+        seconds: next()?,
+        entries: next()?,
+        workers: next()?,
+        callers: next()?,
+    })
+}
+
+fn cases(matches: &ArgMatches) -> Result<Vec<Case>, String> {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    if let Some(path) = matches.get_one::<PathBuf>("again") {
+        let text =
+            fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+        let lines = text.lines().filter(|line| !line.is_empty() && !line.starts_with('#'));
+        return lines.map(|line| case(line).ok_or(format!("no case: {line}"))).collect();
+    }
+    let first = number("seed");
+    let case = |seed| Case {
+        seed,
+        seconds: number("seconds"),
+        entries: number("entries"),
+        workers: number("workers"),
+        callers: number("callers"),
+    };
+    Ok((first..first + number("seeds")).map(case).collect())
+}
+
+fn options(matches: &ArgMatches, case: Case) -> Options {
+    let path = |name: &str| matches.get_one::<PathBuf>(name).cloned().unwrap_or_default();
+    Options {
+        program: path("program"),
+        directory: path("directory").join(case.seed.to_string()),
+        seed: case.seed,
+        length: Duration::from_secs(case.seconds),
+        shape: Shape {
+            entries: case.entries.max(1) as usize,
+            workers: case.workers.max(1) as usize,
+        },
+        callers: case.callers as usize,
+    }
+}
+
+/// Runs one case; tells whether every promise held.
+fn play(runtime: &Runtime, options: &Options) -> Result<bool, String> {
+    let named = |error: &dyn Display| format!("{}: {error}", options.directory.display());
+    fs::create_dir_all(&options.directory).map_err(|error| named(&error))?;
+    let (verdict, seconds) = runtime.block_on(run::run(options))?;
+    println!("{}", report::line(&verdict));
+    for breach in &verdict.breaches {
+        println!("  {} ms {:?}: {}", breach.at.0, breach.promise, breach.text);
+    }
+    report::write(&options.directory, &verdict, &seconds).map_err(|error| named(&error.0))?;
+    Ok(verdict.breaches.is_empty())
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let runtime = Builder::new_multi_thread().worker_threads(THREADS).enable_all().build();
+    let (runtime, cases) = match (runtime, cases(&matches)) {
+        (Ok(runtime), Ok(cases)) => (runtime, cases),
+        (Err(error), _) => return failed(&error),
+        (_, Err(error)) => return failed(&error),
+    };
+    let mut held = true;
+    for case in cases {
+        match play(&runtime, &options(&matches, case)) {
+            Ok(all) => held &= all,
+            Err(error) => {
+                held = false;
+                println!("seed {} failed: {error}", case.seed);
+            }
+        }
+    }
+    if held { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn failed(error: &dyn Display) -> ExitCode {
+    eprintln!("Error: {error}");
+    ExitCode::FAILURE
+}
