observe: a start may have reached the next incarnation of its worker

Cause: a start is addressed to a worker, and whichever incarnation stands there takes it. Where the agent had not yet heard of a restart, the start ran on the new incarnation; when the restart became known the planner took every run of the old one for over and started the task elsewhere, so that it ran twice until the stray one was stopped 250 ms later. Ruled out: the fencing token, which both starts carried rightly, and a late order, since all were answered within a millisecond.

Mend: a run that was never seen at work is carried over to the new incarnation; its next list, asked after the order was settled, tells whether the run is there. A run that is there goes on. Answers to stops that were sent to an older incarnation prove nothing. batch_runs::unheard_restart failed before.

--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -158,7 +158,9 @@
     announced(tables, now, key, report, &mut changes);
     if report.over != 0 {
         let over = report.over;
-        over_where(tables, key, &mut changes, "worker is over", |run| run.incarnation <= over);
+        let known_over =
+            |run: &table::Run| run.incarnation <= over && (run.seen.is_some() || run.inherited());
+        over_where(tables, key, &mut changes, "worker is over", known_over);
     }
     let worker = &mut tables.workers[key];
     let renewed = worker.session != report.session;
@@ -252,7 +254,28 @@
     }
     if another {
         let incarnation = word.incarnation;
-        over_where(tables, key, changes, "worker restarted", |run| run.incarnation < incarnation);
+        let ended = |run: &table::Run| run.incarnation < incarnation && run.seen.is_some();
+        over_where(tables, key, changes, "worker restarted", ended);
+        carry_over(tables, key, incarnation);
+    }
+}
+
+/// Moves runs that were never seen at work to the next incarnation of their worker.
+///
+/// A start reaches whichever incarnation stands at the worker's address, and the agent may hear of
+/// a restart later than its order arrives. The next list tells whether the run is there.
+fn carry_over(tables: &mut Tables, key: key::Worker, incarnation: u64) {
+    for task in tables.live() {
+        let Some(run) = tables.work_mut(task).and_then(|work| work.live.as_mut()) else { continue };
+        if run.worker != key || run.phase == Phase::Planned || incarnation <= run.incarnation {
+            continue;
+        }
+        run.incarnation = incarnation;
+        if matches!(run.phase, Phase::Stopping(_)) {
+            run.stop_heard = false;
+            run.settled = None;
+            run.ordered = None;
+        }
     }
 }
 
--- a/lib/src/batch/order.rs
+++ b/lib/src/batch/order.rs
@@ -72,17 +72,22 @@
     let gang = tables.step(order.task.part).is_some_and(|step| step.gang);
     let Some(work) = tables.work_mut(order.task) else { return };
     let Some(run) = &mut work.live else { return };
-    if run.number != order.run || run.incarnation != order.incarnation {
+    if run.number != order.run {
         return;
     }
     let worker = run.worker;
+    let starts = matches!(order.verb, Verb::Start { .. });
+    if !starts && run.incarnation != order.incarnation {
+        // The worker has restarted since; whatever became of the order there proves nothing here.
+        run.ordered = None;
+        return;
+    }
     if let Verb::Pace(percent) = order.verb {
         if matches!(answer, Answer::Done(_)) {
             run.paced = percent;
         }
         return;
     }
-    let starts = matches!(order.verb, Verb::Start { .. });
     match (starts, answer) {
         (true, Answer::Done(at)) => {
             if run.phase == Phase::Launching {
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -149,6 +149,11 @@
 }
 
 impl Run {
+    /// Tells whether an earlier planner started it.
+    pub fn inherited(&self) -> bool {
+        self.version == 0
+    }
+
     /// Makes a run that was not heard of yet.
     pub fn new(
         number: u32,
--- a/lib/tests/batch_runs.rs
+++ b/lib/tests/batch_runs.rs
@@ -75,6 +75,35 @@
     assert_eq!(sim.starts.len(), 2);
 }
 
+#[test]
+fn unheard_restart() {
+    // A start that reached a worker's next incarnation, of which the agent had not heard, counts.
+    for mute in [false, true] {
+        for takes_over in [false, true] {
+            let mut sim = Simulation::new(1);
+            for index in 0..3 {
+                sim.restart_unheard(index);
+                sim.workers[index].mute = mute;
+            }
+            let id = sim.hand_in("plain", "brno", vec![step(2, 8, 2000)], 2000);
+            sim.run_for(100);
+            assert_eq!(sim.starts.len(), 2);
+            if takes_over {
+                sim.take_over();
+            }
+            for index in 0..3 {
+                sim.announce(index);
+                sim.workers[index].mute = false;
+            }
+            assert!(sim.run_until_ended(20_000), "mute {mute}");
+            assert_eq!(sim.state(id), Some(State::Completed));
+            if !mute {
+                assert_eq!(sim.starts.len(), 2, "what runs goes on");
+            }
+        }
+    }
+}
+
 #[test]
 fn worker_restarts() {
     let mut sim = Simulation::new(1);
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -79,6 +79,8 @@
     pub mute: bool,
     /// Whether it answered its agent's last call.
     pub answers: bool,
+    /// Incarnation that its agent still takes it for, after a restart that it has not heard of.
+    pub taken_for: Option<u64>,
 }
 
 /// What a caller handed in.
@@ -159,6 +161,7 @@
                 fails: false,
                 mute: false,
                 answers: true,
+                taken_for: None,
             })
             .collect();
         let mut sim = Simulation {
@@ -343,6 +346,7 @@
 
     fn report_of(&self, index: usize) -> Report {
         let worker = &self.workers[index];
+        let incarnation = worker.taken_for.unwrap_or(worker.incarnation);
         let row = |(task, run): (&Task, &Run)| {
             let elapsed = if worker.hangs { 0 } else { self.now - run.began };
             let percent = (elapsed * 100 / run.done_ms.max(1)).min(99) as u32;
@@ -350,7 +354,7 @@
         };
         let announcement = Announcement {
             id: worker.node.clone(),
-            incarnation: worker.incarnation,
+            incarnation,
             service: "sim".into(),
             data_centre: "dc".into(),
             rack: worker.rack.clone(),
@@ -370,8 +374,8 @@
             over: 0,
             answers: worker.answers,
             worker: Some(announcement),
-            list: Some(List {
-                incarnation: worker.incarnation,
+            list: worker.taken_for.is_none().then(|| List {
+                incarnation,
                 fence: worker.fence,
                 asked: self.now,
                 running: worker.runs.iter().map(row).collect(),
@@ -429,7 +433,8 @@
         if !self.workers[index].reachable {
             return Answer::Unknown;
         }
-        if order.incarnation != self.workers[index].incarnation {
+        let worker = &self.workers[index];
+        if order.incarnation != worker.taken_for.unwrap_or(worker.incarnation) {
             return Answer::Gone;
         }
         let mute = self.workers[index].mute;
@@ -508,6 +513,18 @@
         worker.numbered = 0;
     }
 
+    /// Restarts a worker whose agent does not hear of it before [`Simulation::announce`].
+    pub fn restart_unheard(&mut self, index: usize) {
+        let before = self.workers[index].incarnation;
+        self.restart(index);
+        self.workers[index].taken_for = Some(before);
+    }
+
+    /// Has a worker's agent hear of its restart.
+    pub fn announce(&mut self, index: usize) {
+        self.workers[index].taken_for = None;
+    }
+
     /// Share of the jobs of a queue that ended within their objective, in percent.
     pub fn in_objective(&self, queue: &str) -> u64 {
         let of_queue: Vec<&Handed> = self
