--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -17,6 +17,8 @@
 use lavendergauge_soak::run::Options;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 
 /// Threads of the soak itself: callers, stand-ins and links.
 const THREADS: usize = 2;
@@ -121,7 +123,12 @@
 fn play(runtime: &Runtime, options: &Options) -> Result<bool, String> {
     let named = |error: &dyn Display| format!("{}: {error}", options.directory.display());
     fs::create_dir_all(&options.directory).map_err(|error| named(&error))?;
-    let (verdict, seconds) = runtime.block_on(run::run(options))?;
+    let (verdict, seconds) = runtime.block_on(async {
+        tokio::select! {
+            ended = run::run(options) => ended,
+            () = stopped() => Err("stopped by a signal".to_owned()),
+        }
+    })?;
     println!("{}", report::line(&verdict));
     for breach in &verdict.breaches {
         println!("  {} ms {:?}: {}", breach.at.0, breach.promise, breach.text);
@@ -130,6 +137,17 @@
     Ok(verdict.breaches.is_empty())
 }
 
+/// Waits until this process is asked to end; what it started ends with it.
+async fn stopped() {
+    let Ok(mut asked) = signal(SignalKind::terminate()) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = asked.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let runtime = Builder::new_multi_thread().worker_threads(THREADS).enable_all().build();
@@ -143,8 +161,8 @@
         match play(&runtime, &options(&matches, case)) {
             Ok(all) => held &= all,
             Err(error) => {
-                held = false;
                 println!("seed {} failed: {error}", case.seed);
+                return ExitCode::FAILURE;
             }
         }
     }
