--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -123,8 +123,10 @@
     jobs: BTreeMap<Id, Job>,
     workers: Vec<Worker>,
     starts: BTreeMap<Task, Vec<Millis>>,
-    done: BTreeMap<Task, Millis>,
-    noted: BTreeSet<Task>,
+    /// Good ends by task and run.
+    done: BTreeMap<(Task, u64), Millis>,
+    /// Those of them that were taken note of.
+    noted: BTreeSet<(Task, u64)>,
     failures: BTreeMap<Task, u32>,
     noted_failures: BTreeMap<Task, u32>,
     removed_keys: BTreeMap<String, Millis>,
@@ -266,11 +268,15 @@
 
     fn is_done(&self, id: Id, job: &Job) -> bool {
         job.steps.iter().enumerate().all(|(step, row)| {
-            let done = |index: u32| self.done.contains_key(&task(id, step, index));
+            let done = |index: u32| self.was_done(task(id, step, index));
             if row.gang { (0..row.tasks).any(done) } else { (0..row.tasks).all(done) }
         })
     }
 
+    fn was_done(&self, task: Task) -> bool {
+        self.done.range((task, 0)..=(task, u64::MAX)).next().is_some()
+    }
+
     fn has_failed(&self, id: Id) -> bool {
         self.failures.iter().any(|(task, count)| task.part.job == id && ATTEMPTS <= *count)
     }
@@ -279,19 +285,19 @@
     pub fn happened(&mut self, now: Millis, worker: usize, event: &Event) {
         match event {
             Event::Started { task, run, text } => self.started(now, worker, *task, *run, text),
-            Event::Ended { task, how, .. } => {
+            Event::Ended { task, run, how } => {
                 self.workers[worker].runs.remove(task);
                 match *how {
                     "done" => {
-                        self.done.entry(*task).or_insert(now);
+                        self.done.insert((*task, *run), now);
                     }
                     "failed" => *self.failures.entry(*task).or_default() += 1,
                     _ => {}
                 }
             }
             // An end that outlived its lease binds nobody: its task may already run elsewhere.
-            Event::Noted { task, how: "done", lapsed: false } => {
-                self.noted.insert(*task);
+            Event::Noted { task, run, how: "done", lapsed: false } => {
+                self.noted.insert((*task, *run));
             }
             Event::Noted { task, how: "failed", .. } => {
                 *self.noted_failures.entry(*task).or_default() += 1;
@@ -322,7 +328,7 @@
         let after = row.after.iter().all(|before| {
             let before = usize::from(*before);
             let tasks = job.steps[before].tasks;
-            let done = |index| self.done.contains_key(&self::task(id, before, index));
+            let done = |index| self.was_done(self::task(id, before, index));
             if job.steps[before].gang { (0..tasks).any(done) } else { (0..tasks).all(done) }
         });
         self.find(now, Promise::Order, after, || format!("{task} before its turn"));
@@ -421,8 +427,8 @@
         let again: Vec<(Task, Millis)> = self
             .noted
             .iter()
-            .filter_map(|task| {
-                let done = *self.done.get(task)?;
+            .filter_map(|(task, run)| {
+                let done = *self.done.get(&(*task, *run))?;
                 let late = self.starts.get(task)?.iter().find(|at| done < **at)?;
                 Some((*task, *late))
             })
--- a/soak/tests/judge_plants.rs
+++ b/soak/tests/judge_plants.rs
@@ -48,7 +48,7 @@
 
 fn end(judge: &mut Judge, at: Millis, worker: usize, task: Task, how: &'static str) {
     judge.happened(at, worker, &Event::Ended { task, run: 1, how });
-    judge.happened(at, worker, &Event::Noted { task, how, lapsed: false });
+    judge.happened(at, worker, &Event::Noted { task, run: 1, how, lapsed: false });
 }
 
 fn broken(judge: &Judge) -> Vec<Promise> {
@@ -85,8 +85,12 @@
         start(&mut judge, CALM, 0, task(0, 0), 1);
         let ended = Event::Ended { task: task(0, 0), run: 1, how: "done" };
         judge.happened(CALM, 0, &ended);
-        judge.happened(CALM, 0, &Event::Noted { task: task(0, 0), how: "done", lapsed });
+        judge.happened(CALM, 0, &Event::Noted { task: task(0, 0), run: 1, how: "done", lapsed });
         start(&mut judge, Millis(60_001), 1, task(0, 0), 2);
+        let again = Event::Ended { task: task(0, 0), run: 2, how: "done" };
+        judge.happened(Millis(60_002), 1, &again);
+        let noted = Event::Noted { task: task(0, 0), run: 2, how: "done", lapsed: false };
+        judge.happened(Millis(60_003), 1, &noted);
         judge.told(CALM, CALM, JOB, &outcome(200, Some(State::Completed)));
         judge.finish(CALM);
         assert_eq!(broken(&judge), expected);
