entry: another entry serves where the store turns one away; a dead planner is replaced at once

Ruled out: acceptance itself (10 ms), the reading of records (20 ms), the agents' polls.

Change: entries attend at the planner's entry and so know one another. Where nothing listens at the planner's address any more its lease is ended; a planner whose renewals fail offers the duty, and an entry that the store serves well ends its lease; calls that an entry cannot carry out for its own reasons are passed on under the same condition.

--- a/daemon/src/batch/doubt.rs
+++ b/daemon/src/batch/doubt.rs
@@ -14,8 +14,8 @@
 
 /// First and longest pause before a call to the store is repeated.
 const STORE_PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
-/// Time after which a caller is told that its call is in doubt; another entry may settle it sooner.
-const SETTLE_TIME: Duration = Duration::from_millis(1700);
+/// Time after which a call is in doubt here; another entry may settle it sooner.
+const SETTLE_TIME: Duration = Duration::from_millis(700);
 
 /// A write whose outcome is not known.
 #[row]
--- a/daemon/src/batch/entry.rs
+++ b/daemon/src/batch/entry.rs
@@ -19,14 +19,20 @@
 use tokio::time;
 
 use crate::access;
+use crate::batch::forward;
 use crate::batch::ingress;
 use crate::batch::lead;
 use crate::batch::lead::Leader;
 use crate::batch::message;
+use crate::batch::message::Attend;
+use crate::batch::message::Forward;
 use crate::batch::message::Notice;
 use crate::batch::message::Query;
 use crate::batch::message::Reply;
+use crate::batch::message::Succeed;
 use crate::batch::peer;
+use crate::batch::peers;
+use crate::batch::peers::Peers;
 use crate::batch::planner::Planner;
 use crate::batch::view;
 use crate::batch::view::View;
@@ -63,6 +69,8 @@
     pub client: Client,
     /// What is known of the operators' configuration.
     pub view: Arc<View>,
+    /// The other entries.
+    pub peers: Peers,
     /// Who holds the planner's duty, as far as known.
     pub leader: watch::Sender<Option<Leader>>,
     /// Whether the process stops.
@@ -100,6 +108,11 @@
         self.entry.planner().is_some()
     }
 
+    /// Returns how many other entries this one knows to live.
+    pub fn peers(&self) -> usize {
+        self.entry.peers.others(&self.entry).len()
+    }
+
     /// Ends at once, as a killed process does: nothing is finished and nobody is told.
     pub async fn kill(mut self) {
         self.listeners.shutdown().await;
@@ -139,6 +152,7 @@
         store: Store::new(&role.store_address),
         client: peer::client(&settings.access.fleet_key),
         view: Arc::default(),
+        peers: Peers::default(),
         leader: watch::Sender::new(None),
         stopping: watch::Sender::new(false),
         planner: Mutex::new(None),
@@ -164,6 +178,7 @@
     listeners.spawn(server::serve(peers, handler, CONNECTIONS, stopped));
     loops.spawn(view::follow(entry.view.clone(), entry.store.clone()));
     loops.spawn(lead::follow(entry.clone()));
+    loops.spawn(peers::follow(entry.clone()));
     Ok(Handle { entry, stop, listeners, loops })
 }
 
@@ -200,6 +215,18 @@
             }
             Err(refusal) => refusal,
         },
+        message::ATTEND => match peer::read::<Attend>(request).await {
+            Ok(attend) => peer::answer(&peers::on_attend(&entry, attend).await),
+            Err(refusal) => refusal,
+        },
+        message::SUCCEED => match peer::read::<Succeed>(request).await {
+            Ok(offer) => peer::answer(&lead::on_succeed(&entry, offer.lease).await),
+            Err(refusal) => refusal,
+        },
+        message::FORWARD => match peer::read::<Forward>(request).await {
+            Ok(call) => peer::answer(&forward::on_forward(&entry, call).await),
+            Err(refusal) => refusal,
+        },
         _ => peer::status(StatusCode::NOT_FOUND),
     }
 }
--- a/daemon/src/batch/ingress.rs
+++ b/daemon/src/batch/ingress.rs
@@ -37,8 +37,10 @@
 
 use crate::batch::doubt::Doubt;
 use crate::batch::entry::Entry;
+use crate::batch::forward;
 use crate::batch::keys;
 use crate::batch::message;
+use crate::batch::message::Forwarded;
 use crate::batch::message::Notice;
 use crate::batch::message::Query;
 use crate::batch::message::Reply;
@@ -73,12 +75,17 @@
 const TRUST_PERCENT: u32 = 55;
 
 /// What a call is about.
-struct Call {
-    method: Method,
-    host: String,
-    path: String,
-    key: String,
-    until: Millis,
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Host name that the caller gave.
+    pub host: String,
+    /// Path.
+    pub path: String,
+    /// Key that the caller showed.
+    pub key: String,
+    /// When the answer has to be on its way.
+    pub until: Millis,
 }
 
 /// A call that may go on.
@@ -91,10 +98,27 @@
 }
 
 /// An answer with success.
-enum Success {
+pub enum Success {
+    /// The job is accepted, or cancelled.
     Accepted,
+    /// The job's state.
     State(State),
+    /// Jobs that wait in the queue.
     Waiting(u64),
+    /// What another entry answered.
+    Forwarded(Forwarded),
+}
+
+/// What a caller is told.
+pub struct Told {
+    /// Status.
+    pub status: StatusCode,
+    /// Seconds after which the caller may come back, if that would help.
+    pub retry_after_s: Option<u32>,
+    /// Body.
+    pub body: Bytes,
+    /// What a log says of it.
+    pub text: &'static str,
 }
 
 /// Answers one call.
@@ -118,7 +142,12 @@
         until: begun + waits.saturating_sub(DEADLINE_MARGIN).max(LEAST_TIME),
     };
     let outcome = match body::receive(incoming, body_limit(&entry)).await {
-        Ok(bytes) => handle(&entry, &call, bytes).await,
+        Ok(bytes) => match handle(&entry, &call, bytes.clone()).await {
+            Err(refusal) if refusal.is_own() => {
+                forward::pass_on(&entry, &call, bytes, refusal).await
+            }
+            outcome => outcome,
+        },
         Err(_) => Err(Refusal::TooLong),
     };
     finish(&entry, &call, begun, outcome)
@@ -136,18 +165,9 @@
     begun: Millis,
     outcome: Result<Success, Refusal>,
 ) -> Response<Body> {
-    let (response, word) = match &outcome {
-        Ok(Success::Accepted) => (refusal::json(StatusCode::OK, Bytes::from_static(b"{}")), "ok"),
-        Ok(Success::State(state)) => {
-            (refusal::json(StatusCode::OK, ingress::state(*state)), "state")
-        }
-        Ok(Success::Waiting(count)) => {
-            (refusal::json(StatusCode::OK, ingress::waiting(*count)), "waiting")
-        }
-        Err(refusal) => (refusal.response(), refusal.text()),
-    };
+    let told = told(&outcome);
     let took = clock::boot().since(begun);
-    let status = response.status().as_u16();
+    let status = told.status.as_u16();
     let (version, age) = {
         let version = entry.view.known().config.version;
         (version, entry.view.age().map_or(-1, |age| age.as_millis() as i64))
@@ -158,7 +178,7 @@
         call.method,
         Value(&call.host),
         Value(&call.path),
-        Value(word),
+        Value(told.text),
         took.as_millis()
     );
     counter!("lavendergauge_calls_total", "method" => call.method.to_string(),
@@ -166,10 +186,41 @@
     .increment(1);
     histogram!("lavendergauge_call_seconds", "method" => call.method.to_string())
         .record(took.as_secs_f64());
-    response
+    refusal::response(told.status, told.body, told.retry_after_s)
+}
+
+/// Returns what a caller is told of an outcome.
+pub fn told(outcome: &Result<Success, Refusal>) -> Told {
+    let good = |body: Bytes, text: &'static str| Told {
+        status: StatusCode::OK,
+        retry_after_s: None,
+        body,
+        text,
+    };
+    match outcome {
+        Ok(Success::Accepted) => good(Bytes::from_static(b"{}"), "ok"),
+        Ok(Success::State(state)) => good(ingress::state(*state), "state"),
+        Ok(Success::Waiting(count)) => good(ingress::waiting(*count), "waiting"),
+        Ok(Success::Forwarded(answer)) => Told {
+            status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY),
+            retry_after_s: answer.retry_after_s,
+            body: answer.body.clone(),
+            text: "answered by another entry",
+        },
+        Err(refusal) => Told {
+            status: refusal.status(),
+            retry_after_s: refusal.retry_after_s(),
+            body: ingress::error(refusal.text()),
+            text: refusal.text(),
+        },
+    }
 }
 
-async fn handle(entry: &Arc<Entry>, call: &Call, bytes: Bytes) -> Result<Success, Refusal> {
+/// Carries a call out at this entry.
+///
+/// # Errors
+/// The refusal that the caller is told, or that another entry may do better than.
+pub async fn handle(entry: &Arc<Entry>, call: &Call, bytes: Bytes) -> Result<Success, Refusal> {
     let admitted = admit(entry, call).await?;
     let id = Id::parse(&admitted.rest);
     match (&call.method, id) {
--- a/daemon/src/batch/keeper.rs
+++ b/daemon/src/batch/keeper.rs
@@ -148,6 +148,7 @@
                         !known,
                         Value(&cause)
                     );
+                    tenure.doubt.notify_one();
                 }
                 time::sleep(PAUSE).await;
             }
--- a/daemon/src/batch/lead.rs
+++ b/daemon/src/batch/lead.rs
@@ -24,20 +24,27 @@
 
 use crate::batch::entry::Entry;
 use crate::batch::keys;
+use crate::batch::peers;
 use crate::batch::planner;
 use crate::clock;
 use crate::logs::Value;
 
 /// Lease of the duty: the time after its holder's death in which nobody plans.
-const LEASE: Duration = Duration::from_millis(2000);
+const LEASE: Duration = Duration::from_millis(1500);
 /// Part of the lease that its holder does not rely on.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
 /// Interval of renewals.
-const RENEW_EVERY: Duration = Duration::from_millis(500);
+const RENEW_EVERY: Duration = Duration::from_millis(400);
 /// Deadline of a renewal.
 const RENEW_DEADLINE: Duration = Duration::from_millis(600);
 /// Pause after a renewal that failed.
 const RENEW_AGAIN: Duration = Duration::from_millis(150);
+/// Time for which renewals fail before the duty is offered to others: longer than a hiccup.
+const OFFER_AFTER: Duration = Duration::from_millis(200);
+/// Deadline of the look by which an entry tells whether the store serves it well.
+const PROBE_DEADLINE: Duration = Duration::from_millis(200);
+/// Deadline of the call that ends another entry's lease.
+const SUCCEED_DEADLINE: Duration = Duration::from_millis(300);
 /// Longest wait of one watch of the duty.
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
 /// Deadline of other calls.
@@ -69,6 +76,8 @@
     pub chain: u64,
     /// Tells that an agent knows a higher fencing token.
     pub deposed: Notify,
+    /// Tells that the store has failed the planner, so that the lease is looked at at once.
+    pub doubt: Notify,
     lease: u64,
     sure_until: AtomicU64,
 }
@@ -209,6 +218,7 @@
         revision,
         chain: revision,
         deposed: Notify::new(),
+        doubt: Notify::new(),
         lease,
         sure_until: AtomicU64::new(0),
     };
@@ -235,21 +245,21 @@
     }
 }
 
-async fn renew(entry: &Entry, tenure: &Tenure) -> &'static str {
-    let mut unsure = false;
+async fn renew(entry: &Arc<Entry>, tenure: &Tenure) -> &'static str {
+    let mut unsure: Option<Millis> = None;
     loop {
         let asked = clock::boot();
         match entry.store.renew(tenure.lease, RENEW_DEADLINE).await {
             Ok(true) => {
                 tenure.confirm(asked);
-                if std::mem::take(&mut unsure) {
+                if unsure.take().is_some() {
                     log::info!("event=lease-renewed fence={}", tenure.fence);
                 }
-                time::sleep(RENEW_EVERY).await;
+                let _ = time::timeout(RENEW_EVERY, tenure.doubt.notified()).await;
             }
             Ok(false) => return "lease has ended",
             Err(error) => {
-                if !std::mem::replace(&mut unsure, true) {
+                if unsure.is_none() {
                     let cause = error.to_string();
                     log::warn!(
                         "event=lease-not-renewed fence={} cause={}",
@@ -257,11 +267,38 @@
                         Value(&cause)
                     );
                 }
+                let since = *unsure.get_or_insert(asked);
                 if !tenure.may_grant() {
                     return "lease not renewed for too long";
                 }
+                if OFFER_AFTER <= clock::boot().since(since)
+                    && peers::offer(entry, tenure.lease).await
+                {
+                    return "handed over to an entry that the store serves";
+                }
                 time::sleep(RENEW_AGAIN).await;
             }
         }
     }
 }
+
+/// Ends the lease of a planner that the store turns away, if the store serves this entry well.
+pub async fn on_succeed(entry: &Entry, lease: u64) -> bool {
+    if *entry.stopping.borrow() {
+        return false;
+    }
+    if let Err(error) = entry.store.read(keys::LEAD, PROBE_DEADLINE).await {
+        log::info!("event=offer-declined cause={}", Value(&error.to_string()));
+        return false;
+    }
+    match entry.store.revoke(lease, SUCCEED_DEADLINE).await {
+        Ok(()) => {
+            log::info!("event=offer-taken lease={lease}");
+            true
+        }
+        Err(error) => {
+            log::warn!("event=lease-not-revoked cause={}", Value(&error.to_string()));
+            false
+        }
+    }
+}
--- a/daemon/src/batch/message.rs
+++ b/daemon/src/batch/message.rs
@@ -1,5 +1,6 @@
 //! What the processes of the fleet say to one another about batch jobs, as MessagePack over HTTP.
 
+use bytes::Bytes;
 use lavendergauge_derive::value;
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::Part;
@@ -21,6 +22,13 @@
 /// Path at the planner's entry: [`Query`], answered by [`Reply`].
 pub const QUERY: &str = "/batch/query";
 
+/// Path at the planner's entry: [`Attend`], answered by [`Attended`].
+pub const ATTEND: &str = "/batch/attend";
+/// Path at an entry: [`Succeed`], answered by whether it has ended the lease.
+pub const SUCCEED: &str = "/batch/succeed";
+/// Path at an entry: [`Forward`], answered by [`Forwarded`].
+pub const FORWARD: &str = "/batch/forward";
+
 /// Who speaks, and until when tasks may run.
 #[value]
 #[derive(Serialize, Deserialize)]
@@ -136,3 +144,63 @@
     /// The entry that was asked does not hold the duty.
     NotPlanner,
 }
+
+/// Tells the planner that an entry lives; the answer waits while nothing is new.
+#[value]
+#[derive(Serialize, Deserialize)]
+pub struct Attend {
+    /// Address at which the fleet's processes reach the entry.
+    pub address: String,
+    /// Addresses of the entries that it knows to attend.
+    pub known: Vec<String>,
+}
+
+/// What an entry that attends is told.
+#[value]
+#[derive(Serialize, Deserialize)]
+pub enum Attended {
+    /// Addresses of the entries that attend.
+    Entries(Vec<String>),
+    /// The entry does not hold the duty.
+    NotPlanner,
+}
+
+/// Offers the duty to an entry that the store serves.
+#[value]
+#[derive(Serialize, Deserialize)]
+pub struct Succeed {
+    /// The store's lease that the duty is held by.
+    pub lease: u64,
+}
+
+/// A caller's call that the entry it came to cannot carry out.
+#[value]
+#[derive(Serialize, Deserialize)]
+pub struct Forward {
+    /// Method.
+    pub method: String,
+    /// Host name that the caller gave.
+    pub host: String,
+    /// Path.
+    pub path: String,
+    /// Key that the caller showed.
+    pub key: String,
+    /// Time that is left for the answer, in milliseconds.
+    pub left_ms: u64,
+    /// Revision of the configuration that the first entry knows.
+    pub config: u64,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// The answer to a call that was forwarded.
+#[value]
+#[derive(Serialize, Deserialize)]
+pub struct Forwarded {
+    /// Status.
+    pub status: u16,
+    /// Seconds after which the caller may come back, if that would help.
+    pub retry_after_s: Option<u32>,
+    /// Body.
+    pub body: Bytes,
+}
--- a/daemon/src/batch/refusal.rs
+++ b/daemon/src/batch/refusal.rs
@@ -9,7 +9,6 @@
 use lavendergauge_derive::value;
 use lavendergauge_net::body;
 use lavendergauge_net::body::Body;
-use lavendergauge_platform::ingress;
 
 /// Time after which a caller may come back when the entry knows too little, in seconds.
 const RETRY_UNREADY_S: u32 = 1;
@@ -103,21 +102,28 @@
         }
     }
 
-    /// Makes the response.
-    pub fn response(self) -> Response<Body> {
-        let mut response = json(self.status(), ingress::error(self.text()));
-        if let Some(seconds) = self.retry_after_s() {
-            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
-        }
-        response
+    /// Tells whether it lies with this entry, so that another one may serve the call.
+    ///
+    /// ```
+    /// use lavendergauge_daemon::batch::refusal::Refusal;
+    /// assert!(Refusal::NotStored.is_own() && !Refusal::UnknownKey.is_own());
+    /// ```
+    pub fn is_own(self) -> bool {
+        matches!(
+            self,
+            Refusal::Unready | Refusal::NotStored | Refusal::InDoubt | Refusal::Unanswered
+        )
     }
 }
 
 /// Makes a response with a JSON body.
-pub fn json(status: StatusCode, bytes: Bytes) -> Response<Body> {
+pub fn response(status: StatusCode, bytes: Bytes, retry_after_s: Option<u32>) -> Response<Body> {
     let mut response = Response::new(body::full(bytes));
     *response.status_mut() = status;
     let media = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, media);
+    if let Some(seconds) = retry_after_s {
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
     response
 }
