load: a failure is counted once, whichever planner heard of it

Cause: a job's record did not say which run's failure its count held. A planner that took over between the record of a failure and the worker's forgetting of it, while the next run had not been placed, counted the same end again; a job of three attempts was shown as failed after two. Ruled out: the gang's shared count, the order of reports. Mend: the record names the newest run whose failure is counted. batch_runs::failure_counted_once failed before.

--- a/lib/src/batch/load.rs
+++ b/lib/src/batch/load.rs
@@ -80,7 +80,7 @@
                     Work {
                         run: task.run,
                         failures: task.failures,
-                        failed_run: if task.failures == 0 { 0 } else { task.run.saturating_sub(1) },
+                        failed_run: task.failed_run,
                         done: task.done,
                         checkpoint: task.checkpoint.clone(),
                         live,
@@ -119,6 +119,7 @@
     let task = |work: &Work| progress::Task {
         run: work.run,
         failures: work.failures,
+        failed_run: work.failed_run,
         done: work.done,
         checkpoint: if work.done { String::new() } else { work.checkpoint.clone() },
         place: work.live.as_ref().and_then(|run| {
--- a/lib/src/batch/progress.rs
+++ b/lib/src/batch/progress.rs
@@ -28,6 +28,9 @@
     pub checkpoint: String,
     /// Where the newest run may still be; `None` when it is over.
     pub place: Option<Place>,
+    /// Number of the newest run whose failure is counted; 0 for none.
+    #[serde(default)]
+    pub failed_run: u32,
 }
 
 /// The tasks of one occurrence, by step.
--- a/lib/tests/batch_runs.rs
+++ b/lib/tests/batch_runs.rs
@@ -75,6 +75,28 @@
     assert_eq!(sim.starts.len(), 2);
 }
 
+#[test]
+fn failure_counted_once() {
+    // A failure that one planner recorded, and that the worker still lists, is not another one.
+    for gang in [false, true] {
+        let mut sim = Simulation::new(1);
+        let id = sim.hand_in("plain", "brno", vec![Step { gang, ..step(1, 8, 600) }], 600);
+        sim.run_for(40);
+        // No worker takes the next run before the takeover.
+        for worker in &mut sim.workers {
+            worker.fails = true;
+            worker.ready = false;
+        }
+        sim.run_for(20);
+        sim.take_over();
+        sim.run_for(200);
+        sim.workers.iter_mut().for_each(|worker| worker.ready = true);
+        assert!(sim.run_until_ended(60_000));
+        assert_eq!(sim.state(id), Some(State::Failed));
+        assert_eq!(sim.starts.len(), 3);
+    }
+}
+
 #[test]
 fn unheard_restart() {
     // A start that reached a worker's next incarnation, of which the agent had not heard, counts.
