forward: another entry's refusal says nothing of a write that may have been done

Cause: the store had done a write without an answer; the call was passed on, the caller's key had been taken away meanwhile, and the other entry's 401 was given for the answer, while the job ran. Mend: while a write is in doubt only a success stands, or that the job is not known for a cancellation; else the caller is told that the outcome is not known. fleet_path::doubt_passed_on got 401 before, and gets 504.

--- a/daemon/src/batch/forward.rs
+++ b/daemon/src/batch/forward.rs
@@ -67,7 +67,9 @@
         );
         counter!("lavendergauge_calls_passed_on_total").increment(1);
         match answer {
-            Ok(answer) if is_final(answer.status) => return Ok(Success::Forwarded(answer)),
+            Ok(answer) if is_final(answer.status, refusal) => {
+                return Ok(Success::Forwarded(answer));
+            }
             Ok(answer) if answer.status == Refusal::InDoubt.status().as_u16() => {
                 refusal = in_doubt(call, refusal);
             }
@@ -80,9 +82,16 @@
     Err(refusal)
 }
 
-/// Tells whether another entry could do no better.
-fn is_final(status: u16) -> bool {
-    !matches!(status, 429 | 502..=504)
+/// Tells whether an answer stands, given why the call was passed on.
+///
+/// While a write may have been done, nobody's refusal says that it was not; that the job is not
+/// known answers a cancellation all the same.
+fn is_final(status: u16, refusal: Refusal) -> bool {
+    match status {
+        200..300 | 410 => true,
+        429 | 502..=504 => false,
+        _ => refusal != Refusal::InDoubt,
+    }
 }
 
 /// A call that changes something may have been carried out by the entry that it was passed on to.
