view: a store that answers again is found within a second; the duty is offered to three

Cause: after an outage in which the store was silent, entries kept refusing callers for up to 2.4 s, since the watch that they had begun during the outage is never answered and ran to its deadline of 2 s, and the next one waits a second for news. Ruled out: the store's own return (the planner renewed at 22.5 s). Change: a lost store is looked for by short reads.

--- a/daemon/src/batch/peers.rs
+++ b/daemon/src/batch/peers.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use lavendergauge_lib::clock::Millis;
+use rand::seq::SliceRandom;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -35,6 +36,8 @@
 const PROBE_DEADLINE: Duration = Duration::from_millis(400);
 /// Deadline of the call that ends a dead planner's lease.
 const END_DEADLINE: Duration = Duration::from_millis(600);
+/// Entries that the duty is offered to at a time; the next offer goes to others.
+const OFFERS: usize = 3;
 /// Deadline of an offer to take the duty over, the peer's own calls to the store counted in.
 const OFFER_DEADLINE: Duration = Duration::from_millis(700);
 
@@ -173,7 +176,9 @@
 /// away, so that any of them may take the duty.
 pub async fn offer(entry: &Arc<Entry>, lease: u64) -> bool {
     let mut offers = JoinSet::new();
-    for address in entry.peers.attending() {
+    let mut attending = entry.peers.attending();
+    attending.shuffle(&mut rand::rng());
+    for address in attending.into_iter().take(OFFERS) {
         let entry = entry.clone();
         offers.spawn(async move {
             let offer = Succeed { lease };
--- a/daemon/src/batch/view.rs
+++ b/daemon/src/batch/view.rs
@@ -26,6 +26,9 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// Deadline of a read.
 const READ_DEADLINE: Duration = Duration::from_millis(900);
+/// First deadline of the reads by which a lost store is found again; each failure doubles it up to
+/// [`READ_DEADLINE`]. It is far longer than a healthy store takes.
+const PROBE_DEADLINE: Duration = Duration::from_millis(300);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -191,8 +194,12 @@
     /// # Errors
     /// When the store refuses or gives no usable answer.
     pub async fn refresh(&self, store: &Store) -> Result<(), Error> {
+        self.read(store, READ_DEADLINE).await
+    }
+
+    async fn read(&self, store: &Store, deadline: Duration) -> Result<(), Error> {
         let asked = clock::boot();
-        if let Some(item) = store.read(operator::CONFIG, READ_DEADLINE).await? {
+        if let Some(item) = store.read(operator::CONFIG, deadline).await? {
             self.learn(&item);
         }
         self.confirm(asked);
@@ -200,9 +207,22 @@
     }
 }
 
+/// Waits until a store that was lost answers again.
+///
+/// A watch that began while the store was silent is never answered, so that short reads find its
+/// return sooner.
+async fn find_again(view: &View, store: &Store) {
+    let mut deadline = PROBE_DEADLINE;
+    while let Err(error) = view.read(store, deadline).await {
+        log::debug!("event=store-still-lost cause={}", Value(&error.to_string()));
+        deadline = (deadline * 2).min(READ_DEADLINE);
+        time::sleep(PAUSE).await;
+    }
+    log::info!("event=store-regained");
+}
+
 /// Follows what operators write for as long as the process runs.
 pub async fn follow(view: Arc<View>, store: Store) {
-    let mut lost = false;
     let mut from: Option<u64> = None;
     loop {
         let asked = clock::boot();
@@ -232,16 +252,11 @@
                     view.confirm(asked);
                 }
                 from = next;
-                if std::mem::take(&mut lost) {
-                    log::info!("event=store-regained");
-                }
             }
             Err(error) => {
-                if !lost {
-                    lost = true;
-                    log::warn!("event=store-lost cause={}", Value(&error.to_string()));
-                }
+                log::warn!("event=store-lost cause={}", Value(&error.to_string()));
                 time::sleep(PAUSE).await;
+                find_again(&view, &store).await;
             }
         }
     }
