--- a/daemon/src/batch/entry.rs
+++ b/daemon/src/batch/entry.rs
@@ -31,9 +31,9 @@
 use crate::batch::message::Reply;
 use crate::batch::message::Succeed;
 use crate::batch::peer;
-use crate::batch::peers;
-use crate::batch::peers::Peers;
 use crate::batch::planner::Planner;
+use crate::batch::roster;
+use crate::batch::roster::Roster;
 use crate::batch::view;
 use crate::batch::view::View;
 use crate::settings::Access;
@@ -70,7 +70,7 @@
     /// What is known of the operators' configuration.
     pub view: Arc<View>,
     /// The other entries.
-    pub peers: Peers,
+    pub roster: Roster,
     /// Who holds the planner's duty, as far as known.
     pub leader: watch::Sender<Option<Leader>>,
     /// Whether the process stops.
@@ -110,7 +110,7 @@
 
     /// Returns how many other entries this one knows to live.
     pub fn peers(&self) -> usize {
-        self.entry.peers.others(&self.entry).len()
+        self.entry.roster.others(&self.entry).len()
     }
 
     /// Ends at once, as a killed process does: nothing is finished and nobody is told.
@@ -152,7 +152,7 @@
         store: Store::new(&role.store_address),
         client: peer::client(&settings.access.fleet_key),
         view: Arc::default(),
-        peers: Peers::default(),
+        roster: Roster::default(),
         leader: watch::Sender::new(None),
         stopping: watch::Sender::new(false),
         planner: Mutex::new(None),
@@ -178,7 +178,7 @@
     listeners.spawn(server::serve(peers, handler, CONNECTIONS, stopped));
     loops.spawn(view::follow(entry.view.clone(), entry.store.clone()));
     loops.spawn(lead::follow(entry.clone()));
-    loops.spawn(peers::follow(entry.clone()));
+    loops.spawn(roster::follow(entry.clone()));
     Ok(Handle { entry, stop, listeners, loops })
 }
 
@@ -216,7 +216,7 @@
             Err(refusal) => refusal,
         },
         message::ATTEND => match peer::read::<Attend>(request).await {
-            Ok(attend) => peer::answer(&peers::on_attend(&entry, attend).await),
+            Ok(attend) => peer::answer(&roster::on_attend(&entry, attend).await),
             Err(refusal) => refusal,
         },
         message::SUCCEED => match peer::read::<Succeed>(request).await {
--- a/daemon/src/batch/forward.rs
+++ b/daemon/src/batch/forward.rs
@@ -36,7 +36,7 @@
     refusal: Refusal,
 ) -> Result<Success, Refusal> {
     let mut refusal = refusal;
-    for address in entry.peers.others(entry).into_iter().take(TRIES) {
+    for address in entry.roster.others(entry).into_iter().take(TRIES) {
         let left = call.until.since(clock::boot());
         if left < LEAST_LEFT {
             break;
--- a/daemon/src/batch/lead.rs
+++ b/daemon/src/batch/lead.rs
@@ -24,8 +24,8 @@
 
 use crate::batch::entry::Entry;
 use crate::batch::keys;
-use crate::batch::peers;
 use crate::batch::planner;
+use crate::batch::roster;
 use crate::clock;
 use crate::logs::Value;
 
@@ -272,7 +272,7 @@
                     return "lease not renewed for too long";
                 }
                 if OFFER_AFTER <= clock::boot().since(since)
-                    && peers::offer(entry, tenure.lease).await
+                    && roster::offer(entry, tenure.lease).await
                 {
                     return "handed over to an entry that the store serves";
                 }
--- a/daemon/src/batch/peers.rs
+++ b/daemon/src/batch/roster.rs
@@ -43,7 +43,7 @@
 
 /// The other entries.
 #[derive(Default)]
-pub struct Peers {
+pub struct Roster {
     /// Addresses of the entries that attend here, and until when that counts.
     attending: Mutex<BTreeMap<String, Millis>>,
     /// Addresses of the other entries, as the planner told them.
@@ -56,7 +56,7 @@
     mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
-impl Peers {
+impl Roster {
     /// Returns the addresses of the entries that attend here.
     fn attending(&self) -> Vec<String> {
         let now = clock::boot();
@@ -96,12 +96,12 @@
     if entry.planner().is_none() {
         return Attended::NotPlanner;
     }
-    entry.peers.admit(&attend.address);
-    let mut version = entry.peers.version.subscribe();
+    entry.roster.admit(&attend.address);
+    let mut version = entry.roster.version.subscribe();
     let until = time::Instant::now() + ATTEND_WAIT;
     loop {
         version.borrow_and_update();
-        let entries = entry.peers.attending();
+        let entries = entry.roster.attending();
         if entries != attend.known || until <= time::Instant::now() {
             return Attended::Entries(entries);
         }
@@ -122,7 +122,7 @@
         };
         let attend = Attend {
             address: entry.settings.advertised_address.clone(),
-            known: lock(&entry.peers.told).clone(),
+            known: lock(&entry.roster.told).clone(),
         };
         let deadline = ATTEND_WAIT + ATTEND_SLACK;
         let attended = entry
@@ -130,7 +130,7 @@
             .exchange::<Attend, Attended>(&leader.address, message::ATTEND, &attend, deadline)
             .await;
         match attended {
-            Ok(Attended::Entries(entries)) => *lock(&entry.peers.told) = entries,
+            Ok(Attended::Entries(entries)) => *lock(&entry.roster.told) = entries,
             Ok(Attended::NotPlanner) => time::sleep(PAUSE).await,
             Err(error) => {
                 log::info!(
@@ -176,7 +176,7 @@
 /// away, so that any of them may take the duty.
 pub async fn offer(entry: &Arc<Entry>, lease: u64) -> bool {
     let mut offers = JoinSet::new();
-    let mut attending = entry.peers.attending();
+    let mut attending = entry.roster.attending();
     attending.shuffle(&mut rand::rng());
     for address in attending.into_iter().take(OFFERS) {
         let entry = entry.clone();
