--- a/daemon/src/batch/lead.rs
+++ b/daemon/src/batch/lead.rs
@@ -29,7 +29,8 @@
 use crate::clock;
 use crate::logs::Value;
 
-/// Lease of the duty: the time after its holder's death in which nobody plans.
+/// Lease of the duty: the time in which nobody plans after its holder's machine went dark. It holds
+/// through a store that takes half a second for each answer.
 const LEASE: Duration = Duration::from_millis(1500);
 /// Part of the lease that its holder does not rely on.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -153,7 +153,7 @@
     }
 
     /// Notes planned work, such as a graceful stop, that takes a while.
-    pub fn work(&mut self, now: Millis, span: Duration) {
+    pub fn planned_work(&mut self, now: Millis, span: Duration) {
         self.quiet = self.quiet.max(now + span);
     }
 
@@ -163,7 +163,7 @@
     }
 
     /// Tells whether nothing but planned work has disturbed anything for a while.
-    pub fn calm_but_for_work(&self, now: Millis) -> bool {
+    pub fn calm_but_for_plans(&self, now: Millis) -> bool {
         self.unplanned + CONTACT <= now
     }
 
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -189,7 +189,7 @@
     let now = fleet.now();
     let Some(asked) = fleet.nodes[entry].process.asked() else { return };
     let took = now.since(sent);
-    if outcome.broken && took <= asked.elapsed() && fleet.judge().calm_but_for_work(now) {
+    if outcome.broken && took <= asked.elapsed() && fleet.judge().calm_but_for_plans(now) {
         fleet.judge().cut(now, took);
     }
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -49,7 +49,7 @@
 const BURST: usize = 25;
 /// Interval at which the judge looks at what is due.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
-/// Jobs that are asked for at a time once no more come.
+/// Pause between two questions for jobs once no more come.
 const ASK_PAUSE: Duration = Duration::from_millis(10);
 
 /// What to run.
@@ -152,7 +152,7 @@
 async fn strike(fleet: &Arc<Fleet>, tally: &Arc<Tally>, seed: u64, fault: Fault) {
     let now = fleet.now();
     match fault {
-        Fault::Stop(_) => fleet.judge().work(now, GRACE + RESTART),
+        Fault::Stop(_) => fleet.judge().planned_work(now, GRACE + RESTART),
         Fault::Reload(_) | Fault::Config => {}
         _ => fleet.judge().disturb(now, fault.span() + RESTART),
     }
