lead: one function ends a lease of the duty

Cause: four places ended a lease and logged the failure each for itself. lead::end_lease serves all; log lines and behaviour are as they were.

--- a/daemon/src/batch/lead.rs
+++ b/daemon/src/batch/lead.rs
@@ -129,10 +129,18 @@
 
 /// Ends the lease of this entry's last process, so that nobody has to wait for it to run out.
 async fn end_predecessor(entry: &Entry, lease: u64) {
-    match entry.store.revoke(lease, DEADLINE).await {
-        Ok(()) => log::info!("event=predecessor-ended planner={} lease={lease}", entry.name),
+    if end_lease(&entry.store, lease, DEADLINE).await {
+        log::info!("event=predecessor-ended planner={} lease={lease}", entry.name);
+    }
+}
+
+/// Ends a lease of the duty; tells whether it has ended.
+pub async fn end_lease(store: &Store, lease: u64, deadline: Duration) -> bool {
+    match store.revoke(lease, deadline).await {
+        Ok(()) => true,
         Err(error) => {
             log::warn!("event=lease-not-revoked cause={}", Value(&error.to_string()));
+            false
         }
     }
 }
@@ -241,9 +249,7 @@
     entry.set_planner(None);
     entry.leader.send_replace(None);
     log::info!("event=duty-lost planner={} fence={} cause=\"{cause}\"", entry.name, tenure.fence);
-    if let Err(error) = entry.store.revoke(tenure.lease, DEADLINE).await {
-        log::warn!("event=lease-not-revoked cause={}", Value(&error.to_string()));
-    }
+    end_lease(&entry.store, tenure.lease, DEADLINE).await;
 }
 
 async fn renew(entry: &Arc<Entry>, tenure: &Tenure) -> &'static str {
@@ -292,14 +298,9 @@
         log::info!("event=offer-declined cause={}", Value(&error.to_string()));
         return false;
     }
-    match entry.store.revoke(lease, SUCCEED_DEADLINE).await {
-        Ok(()) => {
-            log::info!("event=offer-taken lease={lease}");
-            true
-        }
-        Err(error) => {
-            log::warn!("event=lease-not-revoked cause={}", Value(&error.to_string()));
-            false
-        }
+    let ended = end_lease(&entry.store, lease, SUCCEED_DEADLINE).await;
+    if ended {
+        log::info!("event=offer-taken lease={lease}");
     }
+    ended
 }
--- a/daemon/src/batch/roster.rs
+++ b/daemon/src/batch/roster.rs
@@ -17,6 +17,7 @@
 use tokio::time;
 
 use crate::batch::entry::Entry;
+use crate::batch::lead;
 use crate::batch::lead::Leader;
 use crate::batch::message;
 use crate::batch::message::Attend;
@@ -162,13 +163,8 @@
     if entry.leader.borrow().as_ref() != Some(leader) {
         return;
     }
-    match entry.store.revoke(leader.lease, END_DEADLINE).await {
-        Ok(()) => {
-            log::info!("event=planner-ended planner={} cause=\"nothing listens\"", leader.name)
-        }
-        Err(error) => {
-            log::warn!("event=lease-not-revoked cause={}", Value(&error.to_string()));
-        }
+    if lead::end_lease(&entry.store, leader.lease, END_DEADLINE).await {
+        log::info!("event=planner-ended planner={} cause=\"nothing listens\"", leader.name);
     }
 }
 
