--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -29,6 +29,7 @@
 use lavendergauge_platform::Error;
 use lavendergauge_platform::store::Item;
 use lavendergauge_wire::codec;
+use metrics::histogram;
 use serde::de::DeserializeOwned;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -50,8 +51,13 @@
 use crate::clock;
 use crate::logs::Value;
 
-/// Longest time between two ticks.
+/// Longest time from the end of one tick to the start of the next.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Bounds of the rest after a tick, in which further changes are collected for the next one.
+const TICK_REST: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(60));
+/// Rest after a tick as a multiple of its duration, which bounds the processor's share that ticks
+/// take from renewals of the lease and from answers to callers.
+const TICK_REST_FACTOR: u32 = 2;
 /// Deadline of an order: the agent's own deadline at its worker plus the round trip to the agent.
 const ORDER_DEADLINE: Duration = Duration::from_millis(1500);
 /// Deadline of the read of one page of records.
@@ -167,7 +173,7 @@
             "event=records-loaded fence={} jobs={} runs={}",
             term.fence,
             tables.jobs.len(),
-            tables.live_tasks().len()
+            tables.runs.len()
         );
     }
     let mut tasks = JoinSet::new();
@@ -223,23 +229,37 @@
     }
 }
 
-/// Runs a tick whenever something has changed, and at least every [`TICK_INTERVAL`].
+/// Runs a tick when something has changed, and at least every [`TICK_INTERVAL`].
+///
+/// The first change after a quiet time causes a tick at once; the changes during a tick and the
+/// rest after it are merged into the next one.
 async fn run_ticks(entry: Arc<Entry>, planner: Arc<Planner>, term: Arc<Term>) {
     loop {
+        let started_at = time::Instant::now();
         let (dispatches, questions) = run_tick(&entry, &planner);
         send(&planner, &term, dispatches);
         advise::send(&planner, &term, questions);
-        let _ = time::timeout(TICK_INTERVAL, planner.wake.notified()).await;
+        let duration = started_at.elapsed();
+        histogram!("lavendergauge_tick_seconds").record(duration.as_secs_f64());
+        let rest = rest_after(duration);
+        time::sleep(rest).await;
+        let _ = time::timeout(TICK_INTERVAL - rest, planner.wake.notified()).await;
     }
 }
 
+/// Returns the rest after a tick that took `duration`.
+fn rest_after(duration: Duration) -> Duration {
+    let (shortest, longest) = TICK_REST;
+    (duration * TICK_REST_FACTOR).clamp(shortest, longest)
+}
+
 fn run_tick(entry: &Entry, planner: &Planner) -> (Vec<Dispatch>, Vec<Question>) {
     let (config, evacuated) = {
         let view = entry.config_view.state();
         (view.config.clone(), view.evacuated.clone())
     };
     let mut tables = planner.tables();
-    tables.config = config;
+    tables.set_config(config);
     tables.evacuated = evacuated;
     let (now, wall_ms) = (clock::boot(), clock::wall_ms());
     let events = tick::run(&mut tables, now, wall_ms);
--- a/lib/src/batch/advice.rs
+++ b/lib/src/batch/advice.rs
@@ -5,6 +5,7 @@
 //! with the incarnation of its worker.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use lavendergauge_derive::row;
@@ -83,9 +84,14 @@
 
 /// Returns the questions to send now and marks them as pending.
 pub fn questions(tables: &mut Tables, now: Millis) -> Vec<Question> {
-    let active = tables.jobs.iter().filter(|(_, job)| job.is_active());
     let mut waiting_steps: Vec<(StepInstance, Step, u32)> = Vec::new();
-    for (&id, job) in active.filter(|(_, job)| tables.queue(job).advice_valid_ms != 0) {
+    for id in &tables.active {
+        let Some(job) = tables.jobs.get(id).filter(|job| job.queue.advice_valid_ms != 0) else {
+            continue;
+        };
+        if !job.is_active() {
+            continue;
+        }
         for (&occurrence, row) in &job.occurrences {
             for (step, task_states) in row.steps.iter().enumerate() {
                 let waiting = task_states
@@ -93,13 +99,18 @@
                     .filter(|task_state| !task_state.done && task_state.live.is_none())
                     .count();
                 if waiting != 0 {
-                    let instance = StepInstance { job: id, occurrence, step: step as u16 };
+                    let instance = StepInstance { job: *id, occurrence, step: step as u16 };
                     waiting_steps.push((instance, job.steps()[step].clone(), waiting as u32));
                 }
             }
         }
     }
-    let known: Vec<StepInstance> = waiting_steps.iter().map(|(instance, _, _)| *instance).collect();
+    if waiting_steps.is_empty() {
+        tables.advice.clear();
+        return Vec::new();
+    }
+    let known: BTreeSet<StepInstance> =
+        waiting_steps.iter().map(|(instance, _, _)| *instance).collect();
     tables.advice.retain(|instance, _| known.contains(instance));
     let availability = Availability::of(tables);
     let mut questions = Vec::new();
@@ -131,7 +142,7 @@
     let holds: u32 = capable
         .iter()
         .filter(|key| ticket(tables, now, instance, **key).is_some())
-        .map(|key| availability.holds(instance, *key, step, waiting))
+        .map(|key| availability.holds(tables, instance, *key, step, waiting))
         .sum();
     if waiting <= holds {
         return None;
@@ -142,8 +153,9 @@
             && step_advice.rejected.get(key) != Some(&incarnation)
     };
     let mut asked_workers: Vec<key::Worker> = capable.into_iter().filter(is_undecided).collect();
-    asked_workers
-        .sort_by_key(|key| std::cmp::Reverse(availability.holds(instance, *key, step, waiting)));
+    asked_workers.sort_by_key(|key| {
+        std::cmp::Reverse(availability.holds(tables, instance, *key, step, waiting))
+    });
     asked_workers.truncate((waiting as usize).clamp(MIN_ASKED_WORKERS, MAX_ASKED_WORKERS));
     if asked_workers.is_empty() {
         return None;
--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -1,5 +1,6 @@
 //! Assigns waiting tasks to workers, the most urgent step first.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use lavendergauge_derive::token;
@@ -35,15 +36,19 @@
     tables
         .reservations
         .retain(|_, reservation| now.since(reservation.since) < lifetime(reservation));
-    let candidates = rank::candidates(tables, now);
-    if candidates.is_empty() {
+    if tables.waiting.is_empty() {
         tables.reservations.clear();
+        tables.examined.clear();
         return;
     }
-    let waiting: Vec<StepInstance> =
+    let covered = rank::covered(tables);
+    let candidates = rank::candidates(tables, &covered, now);
+    let waiting: BTreeSet<StepInstance> =
         candidates.iter().map(|candidate| candidate.instance).collect();
     tables.reservations.retain(|instance, _| waiting.contains(instance));
+    tables.examined.retain(|instance, _| waiting.contains(instance));
     let mut availability = Availability::of(tables);
+    let examinations = reservation::Examinations::new(tables, now, &candidates);
     for candidate in &candidates {
         let Some(step) = tables.step(candidate.instance).cloned() else { continue };
         if let Some(reservation) = tables.reservations.get(&candidate.instance) {
@@ -72,7 +77,17 @@
             continue;
         }
         let remaining = still_waiting(tables, candidate);
-        reservation::preempt_or_reserve(tables, now, &mut availability, &remaining, &step, events);
+        if examinations.includes(candidate.instance) {
+            reservation::preempt_or_reserve(
+                tables,
+                now,
+                &mut availability,
+                &covered,
+                &remaining,
+                &step,
+                events,
+            );
+        }
     }
 }
 
@@ -106,11 +121,9 @@
 ) -> Vec<key::Worker> {
     let all = place::eligible(tables, now, candidate.instance, step);
     let healthy = place::healthy(tables, now, &all);
-    let fresh: Vec<key::Worker> = healthy
-        .iter()
-        .copied()
-        .filter(|key| !place::has_failed_on(tables, candidate, *key))
-        .collect();
+    let failed_on = place::failed_on(tables, candidate);
+    let fresh: Vec<key::Worker> =
+        healthy.iter().copied().filter(|key| !failed_on.contains(key)).collect();
     let enough = |pool: &[key::Worker]| {
         if step.gang { place::fits_when_empty(tables, step, pool) } else { !pool.is_empty() }
     };
@@ -158,20 +171,21 @@
     let (groups, slows_elsewhere) = place::full_speed_groups(tables, &pool, step);
     let instance = candidate.instance;
     let mut near = true;
-    let mut placements = place::pack_gang(availability, instance, step, &groups);
+    let mut placements = place::pack_gang(tables, availability, instance, step, &groups);
     if placements.is_none()
         && slows_elsewhere
         && may_run_slowed(tables, now, candidate, step, &groups)
     {
         near = false;
-        placements = place::pack_gang(availability, instance, step, std::slice::from_ref(&pool));
+        placements =
+            place::pack_gang(tables, availability, instance, step, std::slice::from_ref(&pool));
     }
     let Some(placements) = placements else { return Placed::None };
     let Some(task_states) = task_states(tables, instance) else { return Placed::None };
     let number = task_states.iter().map(|task_state| task_state.run).max().unwrap_or(0) + 1;
     let mut index = 0;
     for (worker, count) in placements {
-        availability.occupy(instance, worker, step, count);
+        availability.occupy(worker, step, count);
         for _ in 0..count {
             let task = Task { instance, index };
             plan_run(tables, now, task, number, worker);
@@ -195,28 +209,31 @@
     let (groups, slows_elsewhere) = place::full_speed_groups(tables, &pool, step);
     let may_slow = !slows_elsewhere || may_run_slowed(tables, now, candidate, step, &groups);
     let instance = candidate.instance;
-    let mut placed_any = Placed::None;
-    for index in &candidate.waiting {
-        let task = Task { instance, index: *index };
-        let one = Step { tasks: 1, ..step.clone() };
-        let mut near = true;
-        let mut placements = place::pack_gang(availability, instance, &one, &groups);
-        if placements.is_none() && slows_elsewhere && may_slow {
-            near = false;
-            placements =
-                place::pack_gang(availability, instance, &one, std::slice::from_ref(&pool));
+    let mut waiting = candidate.waiting.iter().copied();
+    let mut placed = 0;
+    let slowed = std::slice::from_ref(&pool);
+    for (groups, near) in [(groups.as_slice(), true), (slowed, false)] {
+        let remaining = (candidate.waiting.len() - placed) as u32;
+        if remaining == 0 || (!near && (!slows_elsewhere || !may_slow)) {
+            break;
+        }
+        let placements = place::fill(tables, availability, instance, step, groups, remaining);
+        for (worker, count) in placements {
+            availability.occupy(worker, step, count);
+            for index in waiting.by_ref().take(count as usize) {
+                let task = Task { instance, index };
+                let number = tables.task_state(task).map_or(1, |task_state| task_state.run + 1);
+                plan_run(tables, now, task, number, worker);
+                events.push(placed_event(tables, task, number, worker, pool.len(), near));
+                placed += 1;
+            }
         }
-        let Some((worker, _)) = placements.and_then(|placements| placements.first().copied())
-        else {
-            return placed_any;
-        };
-        placed_any = Placed::Some;
-        availability.occupy(instance, worker, step, 1);
-        let number = tables.task_state(task).map_or(1, |task_state| task_state.run + 1);
-        plan_run(tables, now, task, number, worker);
-        events.push(placed_event(tables, task, number, worker, pool.len(), near));
     }
-    Placed::All
+    match placed {
+        0 => Placed::None,
+        placed if placed == candidate.waiting.len() => Placed::All,
+        _ => Placed::Some,
+    }
 }
 
 fn task_states(tables: &Tables, instance: StepInstance) -> Option<&Vec<TaskState>> {
@@ -242,13 +259,13 @@
 
 fn plan_run(tables: &mut Tables, now: Millis, task: Task, number: u32, worker: key::Worker) {
     let incarnation = tables.workers[worker].incarnation;
+    tables.touch(task.instance.job);
     let Some(job) = tables.jobs.get_mut(&task.instance.job) else { return };
-    job.touch();
     job.started = true;
     let version = job.version;
-    tables.dirty.insert(task.instance.job);
-    let Some(task_state) = tables.task_state_mut(task) else { return };
-    task_state.run = number;
-    task_state.live =
-        Some(Run { version, ..Run::new(number, worker, incarnation, Phase::Planned, now) });
+    if let Some(task_state) = tables.task_state_mut(task) {
+        task_state.run = number;
+    }
+    let run = Run::new(task, number, worker, incarnation, Phase::Planned, now);
+    tables.insert_run(Run { version, ..run });
 }
--- a/lib/src/batch/dispatch.rs
+++ b/lib/src/batch/dispatch.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use lavendergauge_derive::row;
+use smallvec::SmallVec;
 
 use crate::batch::advice;
-use crate::batch::job::Task;
 use crate::batch::order::Order;
 use crate::batch::order::Verb;
 use crate::batch::pace;
@@ -36,8 +36,8 @@
 }
 
 /// Tells whether a best-effort task works at another share than it should.
-fn is_off_pace(tables: &Tables, task: Task, run: &Run) -> bool {
-    tables.step(task.instance).is_some_and(|step| step.best_effort)
+fn is_off_pace(tables: &Tables, run: &Run) -> bool {
+    tables.step(run.task.instance).is_some_and(|step| step.best_effort)
         && run.pace_percent != pace::due_percent(tables, run.worker)
 }
 
@@ -46,45 +46,71 @@
 /// A start order is sent only after its run has been recorded.
 pub fn orders(tables: &mut Tables, now: Millis) -> Vec<Dispatch> {
     let mut dispatches = Vec::new();
-    for task in tables.live_tasks() {
-        let Some(job) = tables.jobs.get(&task.instance.job) else { continue };
-        let record = job.record.clone();
-        let Some(task_state) = tables.task_state(task) else { continue };
-        let Some(run) = &task_state.live else { continue };
-        let Some(worker) = tables.workers.get(run.worker) else { continue };
-        let verb = match run.phase {
-            Phase::Launching if run.ordered.is_none() => {
-                let age = now.since(worker.clock_read).as_millis() as u64;
-                Verb::Start {
-                    payload: record.submission.payload.clone(),
-                    checkpoint: task_state.checkpoint.clone(),
-                    ticket: advice::ticket(tables, now, task.instance, run.worker)
-                        .map_or_else(String::new, |ticket| ticket.text.clone()),
-                    expires: worker.agent_clock + age + START_VALID_MS,
-                }
-            }
-            Phase::Stopping(_) if !run.is_stop_acknowledged => {
-                if run.ordered.is_some_and(|sent| now.since(sent) < STOP_RETRY) {
-                    continue;
-                }
-                Verb::Stop
-            }
-            Phase::Running if is_off_pace(tables, task, run) => {
-                if run.ordered.is_some_and(|sent| now.since(sent) < PACE_INTERVAL) {
-                    continue;
-                }
-                Verb::Pace(pace::due_percent(tables, run.worker))
+    let unsent: SmallVec<[key::Run; 32]> = tables.unsent.iter().copied().collect();
+    for key in unsent {
+        let verb = match tables.runs.get(key) {
+            Some(run) => pending_verb(tables, now, run),
+            None => Pending::Nothing,
+        };
+        let verb = match verb {
+            Pending::Nothing => {
+                tables.unsent.remove(&key);
+                continue;
             }
-            _ => continue,
+            Pending::Later => continue,
+            Pending::Now(verb) => verb,
         };
-        let order = Order { task, run: run.number, incarnation: run.incarnation, verb };
+        let Some(run) = tables.runs.get_mut(key) else { continue };
+        let Some(worker) = tables.workers.get(run.worker) else { continue };
+        let order = Order { task: run.task, run: run.number, incarnation: run.incarnation, verb };
         let (node, session) = (worker.node.clone(), worker.session);
         dispatches.push(Dispatch { worker: run.worker, node, session, order });
-        if let Some(run) =
-            tables.task_state_mut(task).and_then(|task_state| task_state.live.as_mut())
-        {
-            run.ordered = Some(now);
-        }
+        run.ordered = Some(now);
     }
     dispatches
 }
+
+/// Whether a run has an order to send.
+enum Pending {
+    /// None, until the run changes.
+    Nothing,
+    /// One, after the answer to the last one is overdue.
+    Later,
+    /// One, at once.
+    Now(Verb),
+}
+
+fn pending_verb(tables: &Tables, now: Millis, run: &Run) -> Pending {
+    let Some(worker) = tables.workers.get(run.worker) else { return Pending::Nothing };
+    let waits_for_answer =
+        |interval: Duration| run.ordered.is_some_and(|sent| now.since(sent) < interval);
+    match run.phase {
+        Phase::Launching if run.ordered.is_none() => {
+            let instance = run.task.instance;
+            let Some(job) = tables.jobs.get(&instance.job) else { return Pending::Nothing };
+            let Some(task_state) = tables.task_state(run.task) else { return Pending::Nothing };
+            let age = now.since(worker.clock_read).as_millis() as u64;
+            Pending::Now(Verb::Start {
+                payload: job.record.submission.payload.clone(),
+                checkpoint: task_state.checkpoint.clone(),
+                ticket: advice::ticket(tables, now, instance, run.worker)
+                    .map_or_else(String::new, |ticket| ticket.text.clone()),
+                expires: worker.agent_clock + age + START_VALID_MS,
+            })
+        }
+        Phase::Stopping(_) if !run.is_stop_acknowledged => {
+            if waits_for_answer(STOP_RETRY) {
+                Pending::Later
+            } else {
+                Pending::Now(Verb::Stop)
+            }
+        }
+        Phase::Running if is_off_pace(tables, run) => {
+            if waits_for_answer(PACE_INTERVAL) {
+                return Pending::Later;
+            }
+            Pending::Now(Verb::Pace(pace::due_percent(tables, run.worker)))
+        }
+        _ => Pending::Nothing,
+    }
+}
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -5,9 +5,9 @@
 use lavendergauge_derive::value;
 use serde::Deserialize;
 use serde::Serialize;
+use smallvec::SmallVec;
 
 use crate::batch::job::Task;
-use crate::batch::records;
 use crate::batch::table;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
@@ -172,6 +172,8 @@
     worker.clock_read = now;
     worker.is_responsive = report.is_worker_responsive;
     worker.session = report.session;
+    tables.changed_workers.insert(key);
+    let worker = &mut tables.workers[key];
     if has_new_session {
         worker.grant_until = 0;
         restart_clock(tables, key);
@@ -201,12 +203,10 @@
 
 /// Discards times by the clock of an agent's earlier process.
 fn restart_clock(tables: &mut Tables, key: key::Worker) {
-    for task in tables.live_tasks() {
-        let Some(run) = tables.task_state_mut(task).and_then(|task_state| task_state.live.as_mut())
-        else {
-            continue;
-        };
-        if run.worker == key && run.settled_at.is_some() {
+    for run_key in &tables.workers[key].runs {
+        if let Some(run) = tables.runs.get_mut(*run_key)
+            && run.settled_at.is_some()
+        {
             run.settled_at = Some(0);
         }
     }
@@ -273,12 +273,9 @@
 /// A start order reaches whichever incarnation runs at the worker's address, and the agent may
 /// notice a restart only after the order arrived. The next list shows whether the run exists.
 fn carry_over(tables: &mut Tables, key: key::Worker, incarnation: u64) {
-    for task in tables.live_tasks() {
-        let Some(run) = tables.task_state_mut(task).and_then(|task_state| task_state.live.as_mut())
-        else {
-            continue;
-        };
-        if run.worker != key || run.phase == Phase::Planned || incarnation <= run.incarnation {
+    for run_key in tables.workers[key].runs.clone() {
+        let Some(run) = tables.runs.get_mut(run_key) else { continue };
+        if run.phase == Phase::Planned || incarnation <= run.incarnation {
             continue;
         }
         run.incarnation = incarnation;
@@ -286,8 +283,10 @@
             run.is_stop_acknowledged = false;
             run.settled_at = None;
             run.ordered = None;
+            tables.unsent.insert(run_key);
         }
     }
+    tables.recount(key);
 }
 
 /// Ends every run on a worker that a predicate selects, except planned ones.
@@ -298,14 +297,14 @@
     cause: &'static str,
     pick: impl Fn(&table::Run) -> bool,
 ) {
-    for task in tables.live_tasks() {
-        let Some(task_state) = tables.task_state_mut(task) else { continue };
-        let Some(run) = &task_state.live else { continue };
-        if run.worker != key || run.phase == Phase::Planned || !pick(run) {
+    for run_key in tables.workers[key].runs.clone() {
+        let Some(run) = tables.runs.get(run_key) else { continue };
+        if run.phase == Phase::Planned || !pick(run) {
             continue;
         }
+        let task = run.task;
         changes.push(Change::Lost(task, run.number, cause));
-        task_state.live = None;
+        tables.remove_run(run_key);
         tables.touch(task.instance.job);
         break_gang(tables, task);
     }
@@ -316,10 +315,18 @@
     if !tables.step(task.instance).is_some_and(|step| step.gang) {
         return;
     }
-    let Some(job) = tables.jobs.get_mut(&task.instance.job) else { return };
-    let Some(occurrence) = job.occurrences.get_mut(&task.instance.occurrence) else { return };
-    for task_state in &mut occurrence.steps[usize::from(task.instance.step)] {
-        records::stop_run(task_state, Cause::Gang);
+    stop_members(tables, task, Cause::Gang, |_| true);
+}
+
+/// Stops the runs of a gang's members that a predicate selects.
+fn stop_members(tables: &mut Tables, task: Task, cause: Cause, pick: impl Fn(&table::Run) -> bool) {
+    let Some(task_states) = gang_members(tables, task) else { return };
+    let live: SmallVec<[key::Run; 16]> =
+        task_states.iter().filter_map(|task_state| task_state.live).collect();
+    for key in live {
+        if tables.runs.get(key).is_some_and(&pick) {
+            tables.stop_run(key, cause);
+        }
     }
 }
 
@@ -336,10 +343,13 @@
         }
         tables.workers[key].newest_end_seen = end.number;
         apply_end(tables, now, key, end, changes);
-        if let Some(job) = tables.jobs.get(&end.task.instance.job) {
+        if let Some(job) = tables.jobs.get_mut(&end.task.instance.job) {
             let version = job.version;
             if job.recorded_version < version {
                 tables.workers[key].unrecorded.insert(end.task.instance.job, version);
+                if !job.unrecorded_at.contains(&key) {
+                    job.unrecorded_at.push(key);
+                }
             }
         }
     }
@@ -361,23 +371,23 @@
     let long_running = tables.step(task.instance).is_some_and(|step| step.long_running);
     let Some(task_state) = tables.task_state_mut(task) else { return };
     changes.push(Change::Ended(task, end.run, end.how.clone()));
-    let is_current =
-        task_state.live.as_ref().is_some_and(|run| run.number == end.run && run.worker == key);
+    let live = task_state.live;
     if !end.checkpoint.is_empty() && end.run == task_state.run {
         task_state.checkpoint = end.checkpoint.clone();
     }
-    let worked = match &task_state.live {
-        Some(run) if is_current => now.since(run.since),
-        _ => Duration::MAX,
-    };
-    if is_current {
-        task_state.live = None;
-    }
+    let current = live.filter(|live| {
+        tables.runs.get(*live).is_some_and(|run| run.number == end.run && run.worker == key)
+    });
+    let worked = current
+        .and_then(|current| tables.remove_run(current))
+        .map_or(Duration::MAX, |run| now.since(run.since));
+    let is_current = current.is_some();
+    let Some(task_state) = tables.task_state_mut(task) else { return };
     match end.ending {
         Ending::Done if !long_running => {
             task_state.done = true;
             if !is_current {
-                records::stop_run(task_state, Cause::Surplus);
+                tables.stop_task(task, Cause::Surplus);
             }
             if gang {
                 finish_gang(tables, task, end.run);
@@ -408,18 +418,16 @@
 
 /// The success of one member is the success of its gang's whole run.
 fn finish_gang(tables: &mut Tables, task: Task, run: u32) {
-    let Some(task_states) = gang_members(tables, task) else { return };
+    let Some(task_states) = gang_members_mut(tables, task) else { return };
     for task_state in task_states {
         task_state.done = true;
-        if task_state.live.as_ref().is_some_and(|live| live.number != run) {
-            records::stop_run(task_state, Cause::Surplus);
-        }
     }
+    stop_members(tables, task, Cause::Surplus, |live| live.number != run);
 }
 
 /// The failure of one member is the failure of its gang, counted once per run.
 fn share_failure(tables: &mut Tables, task: Task, run: u32) {
-    let Some(task_states) = gang_members(tables, task) else { return };
+    let Some(task_states) = gang_members_mut(tables, task) else { return };
     let failures = task_states.iter().map(|task_state| task_state.failures).max().unwrap_or(0);
     for task_state in task_states {
         task_state.failures = failures;
@@ -432,7 +440,7 @@
     if !tables.step(task.instance).is_some_and(|step| step.gang) {
         return;
     }
-    let Some(task_states) = gang_members(tables, task) else { return };
+    let Some(task_states) = gang_members_mut(tables, task) else { return };
     let Some(newest) =
         task_states.get(task.index as usize).map(|task_state| task_state.checkpoint.clone())
     else {
@@ -442,11 +450,19 @@
         return;
     }
     for task_state in task_states {
-        task_state.checkpoint = newest.clone();
+        if task_state.checkpoint != newest {
+            task_state.checkpoint.clone_from(&newest);
+        }
     }
 }
 
-fn gang_members(tables: &mut Tables, task: Task) -> Option<&mut Vec<table::TaskState>> {
+fn gang_members(tables: &Tables, task: Task) -> Option<&Vec<table::TaskState>> {
+    let occurrence =
+        tables.jobs.get(&task.instance.job)?.occurrences.get(&task.instance.occurrence)?;
+    occurrence.steps.get(usize::from(task.instance.step))
+}
+
+fn gang_members_mut(tables: &mut Tables, task: Task) -> Option<&mut Vec<table::TaskState>> {
     let job = tables.jobs.get_mut(&task.instance.job)?;
     let occurrence = job.occurrences.get_mut(&task.instance.occurrence)?;
     occurrence.steps.get_mut(usize::from(task.instance.step))
@@ -460,11 +476,8 @@
     changes: &mut Vec<Change>,
 ) {
     for row in &list.running {
-        let Some(task_state) = tables.task_state_mut(row.task) else {
-            changes.push(Change::Unexpected(row.task, row.run));
-            continue;
-        };
-        let found = task_state.live.as_mut().filter(|run| {
+        let live = tables.task_state(row.task).and_then(|task_state| task_state.live);
+        let found = live.and_then(|live| tables.runs.get_mut(live)).filter(|run| {
             run.number == row.run && run.worker == key && run.incarnation == list.incarnation
         });
         let Some(run) = found else {
@@ -490,8 +503,13 @@
             run.percent = row.percent;
             run.progressed_at = now;
         }
-        if !row.checkpoint.is_empty() && task_state.checkpoint != row.checkpoint {
-            task_state.checkpoint = row.checkpoint.clone();
+        if row.checkpoint.is_empty() {
+            continue;
+        }
+        if let Some(task_state) = tables.task_state_mut(row.task)
+            && task_state.checkpoint != row.checkpoint
+        {
+            task_state.checkpoint.clone_from(&row.checkpoint);
             share_checkpoint(tables, row.task);
         }
     }
@@ -500,17 +518,17 @@
 /// Ends the runs that are missing from a list, if the list was requested after their newest order
 /// was settled.
 fn end_missing_runs(tables: &mut Tables, key: key::Worker, list: &List, changes: &mut Vec<Change>) {
-    for task in tables.live_tasks() {
-        let Some(task_state) = tables.task_state_mut(task) else { continue };
-        let Some(run) = &task_state.live else { continue };
-        let here = run.worker == key && run.incarnation == list.incarnation;
+    for run_key in tables.workers[key].runs.clone() {
+        let Some(run) = tables.runs.get(run_key) else { continue };
+        let task = run.task;
+        let here = run.incarnation == list.incarnation;
         let settled = run.settled_at.is_some_and(|settled_at| settled_at < list.sent_at);
         let listed = list.running.iter().any(|row| row.task == task && row.run == run.number);
         if !here || !settled || listed {
             continue;
         }
         changes.push(Change::Lost(task, run.number, "not listed by its worker"));
-        task_state.live = None;
+        tables.remove_run(run_key);
         tables.touch(task.instance.job);
         break_gang(tables, task);
     }
--- a/lib/src/batch/order.rs
+++ b/lib/src/batch/order.rs
@@ -9,7 +9,6 @@
 use crate::batch::advice;
 use crate::batch::job::Task;
 use crate::batch::observe;
-use crate::batch::records;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
 use crate::batch::table::Tables;
@@ -70,11 +69,10 @@
 /// Applies the answer to an order.
 pub fn apply_answer(tables: &mut Tables, now: Millis, order: &Order, answer: &Answer) {
     let gang = tables.step(order.task.instance).is_some_and(|step| step.gang);
-    let Some(task_state) = tables.task_state_mut(order.task) else { return };
-    let Some(run) = &mut task_state.live else { return };
-    if run.number != order.run {
+    let Some(key) = tables.task_state(order.task).and_then(|task_state| task_state.live) else {
         return;
-    }
+    };
+    let Some(run) = tables.runs.get_mut(key).filter(|run| run.number == order.run) else { return };
     let worker = run.worker;
     let starts = matches!(order.verb, Verb::Start { .. });
     if !starts && run.incarnation != order.incarnation {
@@ -95,12 +93,13 @@
                 run.phase = Phase::Running;
                 run.settled_at = Some(*at);
                 run.ordered = None;
+                tables.changed_workers.insert(worker);
             }
         }
         // The run did not start and never will: a later copy of the order is refused in the same
         // way.
         (true, Answer::Refused(_) | Answer::Gone) => {
-            task_state.live = None;
+            tables.remove_run(key);
             advice::drop_ticket(tables, order.task.instance, worker);
             if let Some(row) = tables.workers.get_mut(worker) {
                 row.paused_until = now + REFUSED_PAUSE;
@@ -111,7 +110,7 @@
             }
         }
         (true, Answer::Unknown) => {
-            records::stop_run(task_state, Cause::InDoubt);
+            tables.stop_run(key, Cause::InDoubt);
             if gang {
                 observe::break_gang(tables, order.task);
             }
@@ -121,7 +120,7 @@
             run.settled_at = Some(*at);
         }
         (false, Answer::Gone) => {
-            task_state.live = None;
+            tables.remove_run(key);
             tables.touch(order.task.instance.job);
         }
         (false, Answer::Refused(_) | Answer::Unknown) => {}
--- a/lib/src/batch/pace.rs
+++ b/lib/src/batch/pace.rs
@@ -4,16 +4,19 @@
 //! so it is not predicted. Best-effort tasks back off at once when the tail latency of a serving
 //! task comes near its bound, and speed up again in small steps.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use lavendergauge_derive::row;
+use smallvec::SmallVec;
 
 use crate::batch::table::Phase;
 use crate::batch::table::Tables;
 use crate::clock::Millis;
 use crate::key;
 
+/// Share at which tasks work unless they are slowed, in percent.
+const FULL_SPEED_PERCENT: u32 = 100;
 /// Tail latency, in percent of its bound, from which best-effort tasks are slowed.
 const SLOW_DOWN_PERCENT: u64 = 80;
 /// Tail latency, in percent of its bound, from which best-effort tasks are stopped.
@@ -71,32 +74,41 @@
     Pace { percent: (pace.percent + RISE_PERCENT).min(100), hold_until: now + RISE_INTERVAL }
 }
 
-/// Sets the pace of every worker with serving tasks, and clears that of the others.
-pub fn adjust(tables: &mut Tables, now: Millis) {
-    let mut tails: BTreeMap<key::Worker, u64> = BTreeMap::new();
-    for task in tables.live_tasks() {
-        let Some(step) = tables.step(task.instance).filter(|step| step.tail_latency_ms != 0) else {
-            continue;
-        };
-        let Some(run) = tables.task_state(task).and_then(|task_state| task_state.live.as_ref())
-        else {
-            continue;
-        };
-        if matches!(run.phase, Phase::Running | Phase::Launching) {
-            let tail = u64::from(run.measure) * 100 / step.tail_latency_ms;
-            let worst = tails.entry(run.worker).or_default();
-            *worst = tail.max(*worst);
-        }
-    }
-    for (key, worker) in &mut tables.workers {
-        worker.pace = tails.get(&key).map(|tail| match &worker.pace {
-            Some(pace) => next(pace, now, *tail),
-            None => next(&Pace::default(), now, *tail),
+/// Sets the pace of each of the given workers that has serving tasks, and clears that of the others.
+pub fn adjust(tables: &mut Tables, now: Millis, workers: &BTreeSet<key::Worker>) {
+    for &key in workers {
+        let Some(worker) = tables.workers.get(key) else { continue };
+        let tail = worker
+            .runs
+            .iter()
+            .filter_map(|run| tables.runs.get(*run))
+            .filter(|run| matches!(run.phase, Phase::Running | Phase::Launching))
+            .filter_map(|run| {
+                let step = tables.step(run.task.instance)?;
+                (u64::from(run.measure) * 100).checked_div(step.tail_latency_ms)
+            })
+            .max();
+        let pace = tail.map(|tail| match &worker.pace {
+            Some(pace) => next(pace, now, tail),
+            None => next(&Pace::default(), now, tail),
         });
+        let percent = pace.as_ref().map_or(FULL_SPEED_PERCENT, |pace| pace.percent);
+        let off_pace: SmallVec<[key::Run; 8]> = worker
+            .runs
+            .iter()
+            .copied()
+            .filter(|run| tables.runs.get(*run).is_some_and(|run| run.pace_percent != percent))
+            .collect();
+        tables.unsent.extend(off_pace);
+        tables.workers[key].pace = pace;
     }
 }
 
 /// Returns the share at which best-effort tasks of a worker should work, in percent.
 pub fn due_percent(tables: &Tables, worker: key::Worker) -> u32 {
-    tables.workers.get(worker).and_then(|row| row.pace.as_ref()).map_or(100, |pace| pace.percent)
+    tables
+        .workers
+        .get(worker)
+        .and_then(|row| row.pace.as_ref())
+        .map_or(FULL_SPEED_PERCENT, |pace| pace.percent)
 }
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -23,7 +23,7 @@
 /// Number of tasks on each worker, in the order in which the workers were chosen.
 pub type Placements = SmallVec<[(key::Worker, u32); 8]>;
 
-/// Free and reserved resources of all workers.
+/// Free and reserved resources of all workers, changed by the decisions of one tick.
 #[row]
 #[derive(Default)]
 pub struct Availability {
@@ -31,27 +31,14 @@
     free: SecondaryMap<key::Worker, Resources>,
     /// Resources of each worker reserved for waiting steps; other runs may still use them.
     reserved: SecondaryMap<key::Worker, Resources>,
-    /// Number of tasks of each step on each worker.
-    counts: BTreeMap<(StepInstance, key::Worker), u32>,
 }
 
 impl Availability {
-    /// Computes the free and the reserved resources of all workers.
+    /// Reads the free and the reserved resources of all workers from the tables.
     pub fn of(tables: &Tables) -> Availability {
         let mut availability = Availability::default();
         for (key, worker) in &tables.workers {
-            availability.free.insert(key, worker.capacity);
-        }
-        for task in tables.live_tasks() {
-            let Some(run) = tables.task_state(task).and_then(|task_state| task_state.live.as_ref())
-            else {
-                continue;
-            };
-            let Some(step) = tables.step(task.instance) else { continue };
-            // A run whose worker has restarted since uses no resources of the new incarnation.
-            if tables.workers.get(run.worker).is_some_and(|w| w.incarnation == run.incarnation) {
-                availability.occupy(task.instance, run.worker, step, 1);
-            }
+            availability.free.insert(key, worker.free());
         }
         for (instance, reservation) in &tables.reservations {
             let Some(step) = tables.step(*instance) else { continue };
@@ -67,18 +54,10 @@
     }
 
     /// Uses resources of a worker for tasks of a step.
-    pub fn occupy(&mut self, instance: StepInstance, worker: key::Worker, step: &Step, count: u32) {
+    pub fn occupy(&mut self, worker: key::Worker, step: &Step, count: u32) {
         if let Some(free) = self.free.get_mut(worker) {
             *free = free.minus(step.resources().times(count));
         }
-        *self.counts.entry((instance, worker)).or_default() += count;
-    }
-
-    /// Frees the resources of one task of a step.
-    pub fn free_task(&mut self, step: &Step, worker: key::Worker) {
-        if let Some(free) = self.free.get_mut(worker) {
-            *free = free.plus(step.resources());
-        }
     }
 
     /// Reserves resources for a waiting step.
@@ -101,20 +80,29 @@
     /// Returns how many more tasks of a step fit on a worker, at most `most`.
     pub fn holds(
         &self,
+        tables: &Tables,
         instance: StepInstance,
         worker: key::Worker,
         step: &Step,
         most: u32,
     ) -> u32 {
-        let remaining = match step.max_per_worker {
-            0 => most,
-            max => max
-                .saturating_sub(self.counts.get(&(instance, worker)).copied().unwrap_or_default()),
-        };
-        self.unreserved(worker).count_fitting(step.resources(), most.min(remaining))
+        let fitting = self.unreserved(worker).count_fitting(step.resources(), most);
+        if fitting == 0 || step.max_per_worker == 0 {
+            return fitting;
+        }
+        let placed = tasks_on(tables, instance, worker);
+        fitting.min(step.max_per_worker.saturating_sub(placed))
     }
 }
 
+/// Returns the number of tasks of a step that have a run on a worker.
+pub fn tasks_on(tables: &Tables, instance: StepInstance, worker: key::Worker) -> u32 {
+    let Some(row) = tables.workers.get(worker) else { return 0 };
+    let is_of_step =
+        |key: &&key::Run| tables.runs.get(**key).is_some_and(|run| run.task.instance == instance);
+    row.runs.iter().filter(is_of_step).count() as u32
+}
+
 /// Returns the workers that may run a step, whether or not they have free capacity now.
 pub fn eligible(
     tables: &Tables,
@@ -137,7 +125,7 @@
     step: &Step,
 ) -> Vec<key::Worker> {
     let Some(job) = tables.jobs.get(&instance.job) else { return Vec::new() };
-    let service = &tables.queue(job).service;
+    let service = &job.queue.service;
     let fits = |(_, worker): &(key::Worker, &crate::batch::table::Worker)| {
         worker.ready
             && worker.is_responsive
@@ -151,20 +139,12 @@
     tables.workers.iter().filter(fits).map(|(key, _)| key).collect()
 }
 
-/// Groups workers by rack.
-pub fn group_by_rack(tables: &Tables, pool: &[key::Worker]) -> BTreeMap<String, Vec<key::Worker>> {
-    let mut racks: BTreeMap<String, Vec<key::Worker>> = BTreeMap::new();
-    for key in pool {
-        racks.entry(tables.workers[*key].rack.clone()).or_default().push(*key);
-    }
-    racks
-}
-
 /// Finds workers of a pool for `count` tasks of a step, all or none.
 ///
 /// Workers with little free capacity are filled first, so that empty ones stay available for large
 /// tasks.
 pub fn pack(
+    tables: &Tables,
     availability: &Availability,
     instance: StepInstance,
     step: &Step,
@@ -173,13 +153,7 @@
 ) -> Option<Placements> {
     let mut placements = Placements::new();
     let mut remaining = count;
-    let mut rest: Vec<(u32, Resources, key::Worker)> = pool
-        .iter()
-        .map(|key| {
-            (availability.holds(instance, *key, step, count), availability.unreserved(*key), *key)
-        })
-        .filter(|(holds, _, _)| *holds != 0)
-        .collect();
+    let mut rest = spaces(tables, availability, instance, step, pool, count);
     while remaining != 0 {
         let index = best_fit(&rest, remaining)?;
         let (holds, _, key) = rest.swap_remove(index);
@@ -190,6 +164,58 @@
     Some(placements)
 }
 
+/// Finds workers of the groups for as many as possible of `count` tasks that run on their own.
+///
+/// Groups and workers with little free capacity are filled first.
+pub fn fill(
+    tables: &Tables,
+    availability: &Availability,
+    instance: StepInstance,
+    step: &Step,
+    groups: &[Vec<key::Worker>],
+    count: u32,
+) -> Placements {
+    let free = |group: &Vec<key::Worker>| -> u32 {
+        group.iter().map(|key| availability.unreserved(*key).accelerators).sum()
+    };
+    let mut order: SmallVec<[&Vec<key::Worker>; 8]> = groups.iter().collect();
+    if 1 < order.len() {
+        order.sort_by_cached_key(|group| free(group));
+    }
+    let mut placements = Placements::new();
+    let mut remaining = count;
+    for group in order {
+        let mut rest = spaces(tables, availability, instance, step, group, remaining);
+        rest.sort_unstable_by_key(|(_, free, key)| (free.accelerators, free.processors, *key));
+        for (holds, _, key) in rest {
+            if remaining == 0 {
+                return placements;
+            }
+            let taken = holds.min(remaining);
+            placements.push((key, taken));
+            remaining -= taken;
+        }
+    }
+    placements
+}
+
+/// Returns the workers of a pool that hold tasks of a step: the number of tasks, at most `most`, and
+/// the free resources.
+fn spaces(
+    tables: &Tables,
+    availability: &Availability,
+    instance: StepInstance,
+    step: &Step,
+    pool: &[key::Worker],
+    most: u32,
+) -> Vec<(u32, Resources, key::Worker)> {
+    let space = |key: &key::Worker| {
+        let holds = availability.holds(tables, instance, *key, step, most);
+        (holds != 0).then(|| (holds, availability.unreserved(*key), *key))
+    };
+    pool.iter().filter_map(space).collect()
+}
+
 /// Returns the index of the worker with the least free capacity that holds all remaining tasks, or
 /// else of the one that holds most tasks.
 fn best_fit(rest: &[(u32, Resources, key::Worker)], remaining: u32) -> Option<usize> {
@@ -214,12 +240,15 @@
     pool: &[key::Worker],
     step: &Step,
 ) -> (Vec<Vec<key::Worker>>, bool) {
-    let racks = group_by_rack(tables, pool);
     if !step.data_rack.is_empty() {
-        let home = racks.get(&step.data_rack).cloned().unwrap_or_default();
-        return (vec![home], true);
+        let at_home = |key: &key::Worker| tables.workers[*key].rack == step.data_rack;
+        return (vec![pool.iter().copied().filter(at_home).collect()], true);
     }
     if step.same_rack && 1 < step.tasks {
+        let mut racks: BTreeMap<&str, Vec<key::Worker>> = BTreeMap::new();
+        for key in pool {
+            racks.entry(&tables.workers[*key].rack).or_default().push(*key);
+        }
         return (racks.into_values().collect(), true);
     }
     (vec![pool.to_vec()], false)
@@ -228,6 +257,7 @@
 /// Finds workers for a whole gang within one of the groups; the group with the fewest free
 /// accelerators is chosen.
 pub fn pack_gang(
+    tables: &Tables,
     availability: &Availability,
     instance: StepInstance,
     step: &Step,
@@ -236,7 +266,7 @@
     groups
         .iter()
         .filter_map(|group| {
-            let placements = pack(availability, instance, step, group, step.tasks)?;
+            let placements = pack(tables, availability, instance, step, group, step.tasks)?;
             let free: u32 =
                 group.iter().map(|key| availability.unreserved(*key).accelerators).sum();
             Some((free, placements))
@@ -260,12 +290,24 @@
     step.tasks <= holds
 }
 
-/// Tells whether a run of a candidate's tasks failed on a worker before.
-pub fn has_failed_on(tables: &Tables, candidate: &Candidate, worker: key::Worker) -> bool {
-    candidate.waiting.iter().any(|index| {
-        let task = crate::batch::job::Task { instance: candidate.instance, index: *index };
-        tables.task_state(task).is_some_and(|task_state| task_state.avoid.contains(&worker))
-    })
+/// Returns the workers on which a run of a candidate's tasks failed before.
+pub fn failed_on(tables: &Tables, candidate: &Candidate) -> SmallVec<[key::Worker; 4]> {
+    let StepInstance { job, occurrence, step } = candidate.instance;
+    let task_states = tables
+        .jobs
+        .get(&job)
+        .and_then(|job| job.occurrences.get(&occurrence)?.steps.get(usize::from(step)));
+    let Some(task_states) = task_states else { return SmallVec::new() };
+    let mut workers = SmallVec::new();
+    for task_state in candidate.waiting.iter().filter_map(|index| task_states.get(*index as usize))
+    {
+        for key in &task_state.avoid {
+            if !workers.contains(key) {
+                workers.push(*key);
+            }
+        }
+    }
+    workers
 }
 
 /// Tells whether a run in this phase frees its resources soon.
--- a/lib/src/batch/preempt.rs
+++ b/lib/src/batch/preempt.rs
@@ -1,19 +1,24 @@
 //! Finds the runs that can be preempted at the lowest cost to free capacity for a step.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use lavendergauge_derive::row;
+use lavendergauge_derive::token;
+use slotmap::SecondaryMap;
+use smallvec::SmallVec;
 
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
+use crate::batch::place;
 use crate::batch::place::Availability;
 use crate::batch::place::Placements;
-use crate::batch::table::Phase;
 use crate::batch::table::Run;
 use crate::batch::table::Tables;
 use crate::clock::Millis;
 use crate::key;
+use crate::resource::Resources;
 
 /// Number of cores that one accelerator counts as when lost work is computed.
 const ACCELERATOR_CORES: u64 = 8;
@@ -31,13 +36,6 @@
     pub cost: u64,
 }
 
-/// Runs that can only be preempted together: those of a gang, or one alone.
-#[row]
-struct Unit {
-    tasks: Vec<(Task, key::Worker)>,
-    cost: u64,
-}
-
 /// Returns the work that is lost when a run is stopped, in core-milliseconds.
 pub fn lost_work(step: &Step, run: &Run, now: Millis) -> u64 {
     let cores =
@@ -57,124 +55,193 @@
     instance: StepInstance,
     count: u32,
     groups: &[Vec<key::Worker>],
-    price: impl Fn(Task, &Step, &Run) -> Option<u64>,
+    price: impl Fn(&Step, &Run) -> Option<u64>,
 ) -> Option<Plan> {
     let step = tables.step(instance)?;
-    let units = units(tables, &price);
+    let mut search = Search {
+        tables,
+        availability,
+        instance,
+        step,
+        price: &price,
+        gangs: BTreeMap::new(),
+        freed: SecondaryMap::new(),
+        used: BTreeSet::new(),
+    };
     groups
         .iter()
-        .filter_map(|group| {
-            plan_in_group(tables, availability, instance, step, count, group, &units)
-        })
+        .filter_map(|group| search.plan_in_group(count, group))
         .min_by_key(|plan| plan.cost)
 }
 
-fn units(tables: &Tables, price: &impl Fn(Task, &Step, &Run) -> Option<u64>) -> Vec<Unit> {
-    let mut units: Vec<Unit> = Vec::new();
-    let mut gangs: std::collections::BTreeMap<StepInstance, Option<Unit>> = Default::default();
-    for task in tables.live_tasks() {
-        let Some(step) = tables.step(task.instance) else { continue };
-        let Some(run) = tables.task_state(task).and_then(|task_state| task_state.live.as_ref())
-        else {
-            continue;
-        };
-        let cost = match run.phase {
-            Phase::Stopping(_) => Some(0),
-            _ => price(task, step, run),
-        };
-        if !step.gang {
-            if let Some(cost) = cost {
-                units.push(Unit { tasks: vec![(task, run.worker)], cost });
+/// Runs that can only be preempted together: those of a gang, or one alone.
+#[token]
+enum Unit {
+    Run(key::Run),
+    Gang(StepInstance),
+}
+
+/// What it takes to place one more task on a worker.
+#[row]
+struct Offer {
+    worker: key::Worker,
+    units: SmallVec<[Unit; 8]>,
+    cost: u64,
+    /// Free accelerators of the worker before anything is preempted.
+    accelerators: u32,
+}
+
+/// Members of a gang and the cost of preempting them all; `None` if they must not be preempted.
+type Gang = Option<(SmallVec<[key::Run; 8]>, u64)>;
+
+/// Search for a plan over the tables, which it leaves unchanged.
+struct Search<'a, P> {
+    tables: &'a Tables,
+    availability: &'a Availability,
+    instance: StepInstance,
+    step: &'a Step,
+    price: &'a P,
+    /// Gangs that were examined.
+    gangs: BTreeMap<StepInstance, Gang>,
+    /// Resources that the plan so far frees on each worker, less those that it uses.
+    freed: SecondaryMap<key::Worker, Change>,
+    /// Units that the plan so far preempts.
+    used: BTreeSet<Unit>,
+}
+
+/// Change of a worker's resources by a plan.
+#[token]
+#[derive(Default)]
+struct Change {
+    freed: Resources,
+    taken: Resources,
+    tasks: u32,
+}
+
+impl<P: Fn(&Step, &Run) -> Option<u64>> Search<'_, P> {
+    /// Places the tasks one by one, each on the worker where that is cheapest.
+    fn plan_in_group(&mut self, count: u32, group: &[key::Worker]) -> Option<Plan> {
+        self.freed.clear();
+        self.used.clear();
+        let mut plan = Plan { placements: Placements::new(), victims: BTreeSet::new(), cost: 0 };
+        let mut offers: Vec<Offer> =
+            group.iter().filter_map(|worker| self.offer(*worker)).collect();
+        for _ in 0..count {
+            let best = offers.iter().min_by_key(|offer| {
+                (offer.cost, offer.units.len(), offer.accelerators, offer.worker)
+            })?;
+            let Offer { worker, units, cost, .. } = best.clone();
+            let mut changed: BTreeSet<key::Worker> = BTreeSet::from([worker]);
+            for unit in units {
+                self.used.insert(unit);
+                for run in self.members(unit) {
+                    let Some(run) = self.tables.runs.get(run) else { continue };
+                    let change = self.change_mut(run.worker);
+                    change.freed = change.freed.plus(run.demand);
+                    changed.insert(run.worker);
+                    plan.victims.insert(run.task);
+                }
             }
-            continue;
-        }
-        let unit =
-            gangs.entry(task.instance).or_insert_with(|| Some(Unit { tasks: Vec::new(), cost: 0 }));
-        match (unit.as_mut(), cost) {
-            (Some(unit), Some(cost)) => {
-                unit.tasks.push((task, run.worker));
-                unit.cost += cost;
+            plan.cost += cost;
+            let demand = self.step.resources();
+            let change = self.change_mut(worker);
+            change.taken = change.taken.plus(demand);
+            change.tasks += 1;
+            match plan.placements.iter_mut().find(|(placed, _)| *placed == worker) {
+                Some((_, count)) => *count += 1,
+                None => plan.placements.push((worker, 1)),
             }
-            _ => *unit = None,
+            offers.retain(|offer| !changed.contains(&offer.worker));
+            let again = group.iter().filter(|worker| changed.contains(worker));
+            offers.extend(again.filter_map(|worker| self.offer(*worker)).collect::<Vec<_>>());
         }
+        Some(plan)
     }
-    units.extend(gangs.into_values().flatten());
-    units.sort_by_key(|unit| unit.cost);
-    units
-}
 
-/// Places the tasks one by one, each on the worker where that is cheapest.
-fn plan_in_group(
-    tables: &Tables,
-    availability: &Availability,
-    instance: StepInstance,
-    step: &Step,
-    count: u32,
-    group: &[key::Worker],
-    units: &[Unit],
-) -> Option<Plan> {
-    let mut availability = availability.clone();
-    let mut plan = Plan { placements: Placements::new(), victims: BTreeSet::new(), cost: 0 };
-    let mut used = BTreeSet::new();
-    for _ in 0..count {
-        let (key, chosen, cost) = group
-            .iter()
-            .filter_map(|key| {
-                let (chosen, cost) =
-                    units_to_stop(tables, &availability, instance, step, *key, units, &used)?;
-                Some((*key, chosen, cost))
-            })
-            .min_by_key(|(key, chosen, cost)| {
-                (*cost, chosen.len(), availability.unreserved(*key).accelerators, *key)
-            })?;
-        for index in chosen {
-            used.insert(index);
-            for (task, worker) in &units[index].tasks {
-                let Some(freed) = tables.step(task.instance) else { continue };
-                availability.free_task(freed, *worker);
-                plan.victims.insert(*task);
+    /// Finds the units to preempt so that one more task fits on a worker, the cheapest first.
+    fn offer(&mut self, worker: key::Worker) -> Option<Offer> {
+        let row = self.tables.workers.get(worker)?;
+        let change = self.freed.get(worker).copied().unwrap_or_default();
+        let mut free = self.availability.unreserved(worker).plus(change.freed).minus(change.taken);
+        let accelerators = free.accelerators;
+        let max = self.step.max_per_worker;
+        if max != 0 && max <= change.tasks + place::tasks_on(self.tables, self.instance, worker) {
+            return None;
+        }
+        let demand = self.step.resources();
+        let mut offer = Offer { worker, units: SmallVec::new(), cost: 0, accelerators };
+        if demand.fits(free) {
+            return Some(offer);
+        }
+        let mut units: SmallVec<[(u64, Unit, Resources); 8]> = SmallVec::new();
+        for key in &row.runs {
+            let Some(run) = self.tables.runs.get(*key) else { continue };
+            let Some((unit, cost)) = self.unit(*key, run) else { continue };
+            if self.used.contains(&unit) || run.incarnation != row.incarnation {
+                continue;
+            }
+            match units.iter_mut().find(|(_, known, _)| *known == unit) {
+                Some((_, _, demand)) => *demand = demand.plus(run.demand),
+                None => units.push((cost, unit, run.demand)),
             }
         }
-        plan.cost += cost;
-        availability.occupy(instance, key, step, 1);
-        match plan.placements.iter_mut().find(|(worker, _)| *worker == key) {
-            Some((_, count)) => *count += 1,
-            None => plan.placements.push((key, 1)),
+        units.sort_unstable_by_key(|(cost, unit, _)| (*cost, *unit));
+        for (cost, unit, freed) in units {
+            free = free.plus(freed);
+            offer.cost += cost;
+            offer.units.push(unit);
+            if demand.fits(free) {
+                return Some(offer);
+            }
         }
+        None
     }
-    Some(plan)
-}
 
-/// Finds the units to preempt so that one more task fits on a worker, and their cost.
-fn units_to_stop(
-    tables: &Tables,
-    availability: &Availability,
-    instance: StepInstance,
-    step: &Step,
-    key: key::Worker,
-    units: &[Unit],
-    used: &BTreeSet<usize>,
-) -> Option<(Vec<usize>, u64)> {
-    if 0 < availability.holds(instance, key, step, 1) {
-        return Some((Vec::new(), 0));
+    fn change_mut(&mut self, worker: key::Worker) -> &mut Change {
+        if !self.freed.contains_key(worker) {
+            self.freed.insert(worker, Change::default());
+        }
+        &mut self.freed[worker]
     }
-    let mut availability = availability.clone();
-    let mut chosen = Vec::new();
-    let mut cost = 0;
-    for (index, unit) in units.iter().enumerate() {
-        if used.contains(&index) || !unit.tasks.iter().any(|(_, worker)| *worker == key) {
-            continue;
+
+    /// Returns the unit that a run belongs to and the cost of preempting it.
+    fn unit(&mut self, key: key::Run, run: &Run) -> Option<(Unit, u64)> {
+        let instance = run.task.instance;
+        let step = self.tables.step(instance)?;
+        if !step.gang {
+            return Some((Unit::Run(key), self.cost(step, run)?));
         }
-        for (task, worker) in &unit.tasks {
-            if let Some(freed) = tables.step(task.instance) {
-                availability.free_task(freed, *worker);
-            }
+        if !self.gangs.contains_key(&instance) {
+            let gang = self.gang(instance, step);
+            self.gangs.insert(instance, gang);
         }
-        chosen.push(index);
-        cost += unit.cost;
-        if 0 < availability.holds(instance, key, step, 1) {
-            return Some((chosen, cost));
+        let (_, cost) = self.gangs[&instance].as_ref()?;
+        Some((Unit::Gang(instance), *cost))
+    }
+
+    fn gang(&self, instance: StepInstance, step: &Step) -> Gang {
+        let job = self.tables.jobs.get(&instance.job)?;
+        let row = job.occurrences.get(&instance.occurrence)?;
+        let mut members = SmallVec::new();
+        let mut total = 0;
+        for key in row.steps[usize::from(instance.step)].iter().filter_map(|state| state.live) {
+            total += self.cost(step, self.tables.runs.get(key)?)?;
+            members.push(key);
         }
+        Some((members, total))
+    }
+
+    fn members(&self, unit: Unit) -> SmallVec<[key::Run; 8]> {
+        match unit {
+            Unit::Run(key) => SmallVec::from_slice(&[key]),
+            Unit::Gang(instance) => match self.gangs.get(&instance) {
+                Some(Some((members, _))) => members.clone(),
+                _ => SmallVec::new(),
+            },
+        }
+    }
+
+    fn cost(&self, step: &Step, run: &Run) -> Option<u64> {
+        if place::is_ending(run.phase) { Some(0) } else { (self.price)(step, run) }
     }
-    None
 }
--- a/lib/src/batch/rank.rs
+++ b/lib/src/batch/rank.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use lavendergauge_derive::value;
+use smallvec::SmallVec;
 
 use crate::batch::job::Id;
 use crate::batch::job::Step;
@@ -48,8 +49,16 @@
 
 /// Returns for each step the estimated time from its start to the end of its job, along the longest
 /// chain of steps, in milliseconds.
-fn critical_paths(steps: &[Step]) -> Vec<u64> {
-    let mut critical_paths: Vec<u64> = steps.iter().map(estimated_ms).collect();
+///
+/// ```
+/// use lavendergauge_lib::batch::job::Step;
+/// use lavendergauge_lib::batch::rank;
+/// let first = Step { estimate_ms: 300, ..Step::default() };
+/// let second = Step { estimate_ms: 500, after: [0].into_iter().collect(), ..Step::default() };
+/// assert_eq!(rank::critical_paths(&[first, second]).as_slice(), [800, 500]);
+/// ```
+pub fn critical_paths(steps: &[Step]) -> SmallVec<[u64; 4]> {
+    let mut critical_paths: SmallVec<[u64; 4]> = steps.iter().map(estimated_ms).collect();
     for index in (0..steps.len()).rev() {
         for before in steps[index].after.iter().map(|before| usize::from(*before)) {
             if before < index {
@@ -61,20 +70,6 @@
     critical_paths
 }
 
-/// Returns the number of accelerators that the most urgent jobs of each client account need.
-fn urgent_demands(tables: &Tables) -> HashMap<&str, u32> {
-    let mut demands: HashMap<&str, u32> = HashMap::new();
-    for job in tables.jobs.values() {
-        if job.is_active()
-            && tables.queue(job).priority == 0
-            && job.record.submission.repeat.count == 0
-        {
-            *demands.entry(job.record.account.as_str()).or_default() += accelerators_needed(job);
-        }
-    }
-    demands
-}
-
 /// Returns the number of accelerators that a job needs at a time.
 fn accelerators_needed(job: &Job) -> u32 {
     job.steps().iter().map(|step| step.accelerators * step.tasks).max().unwrap_or(0)
@@ -84,33 +79,35 @@
 ///
 /// Where the jobs of an account need more than its guarantee, the oldest ones are covered first.
 pub fn covered(tables: &Tables) -> Vec<Id> {
-    let demands = urgent_demands(tables);
-    let mut remaining: HashMap<&str, u32> = HashMap::new();
-    for account in &tables.config.accounts {
-        remaining.insert(account.name.as_str(), account.guaranteed);
-    }
-    let mut jobs: Vec<(&Id, &Job)> = tables
-        .jobs
+    let mut remaining: HashMap<&str, u32> = tables
+        .config
+        .accounts
         .iter()
-        .filter(|(_, job)| job.is_active() && demands.contains_key(job.record.account.as_str()))
-        .filter(|(_, job)| tables.queue(job).priority == 0)
+        .map(|account| (account.name.as_str(), account.guaranteed))
+        .collect();
+    let mut jobs: Vec<(Millis, Id, &Job)> = tables
+        .active
+        .iter()
+        .filter_map(|id| Some((*id, tables.jobs.get(id)?)))
+        .filter(|(_, job)| job.is_active() && job.queue.priority == 0)
         .filter(|(_, job)| job.record.submission.repeat.count == 0)
+        .map(|(id, job)| (job.accepted, id, job))
         .collect();
-    jobs.sort_by_key(|(id, job)| (job.accepted, **id));
+    jobs.sort_unstable_by_key(|(accepted, id, _)| (*accepted, *id));
     let mut covered = Vec::new();
-    for (id, job) in jobs {
+    for (_, id, job) in jobs {
         let Some(rest) = remaining.get_mut(job.record.account.as_str()) else { continue };
         if accelerators_needed(job) <= *rest {
             *rest -= accelerators_needed(job);
-            covered.push(*id);
+            covered.push(id);
         }
     }
     covered.sort_unstable();
     covered
 }
 
-/// Tells whether a step may start: its occurrence is due and the steps before it are done.
-pub fn is_due(job: &Job, occurrence: u32, step: usize, now: Millis) -> bool {
+/// Tells whether all steps that have to precede a step are done.
+pub fn follows_done_steps(job: &Job, occurrence: u32, step: usize) -> bool {
     let Some(tasks) = job.occurrences.get(&occurrence) else { return false };
     let done = |step: &u16| {
         tasks
@@ -118,56 +115,33 @@
             .get(usize::from(*step))
             .is_some_and(|task_states| task_states.iter().all(|task_state| task_state.done))
     };
-    tasks.due <= now && job.steps()[step].after.iter().all(done)
+    job.steps()[step].after.iter().all(done)
 }
 
-/// Returns the steps with waiting tasks, the most urgent first.
-pub fn candidates(tables: &Tables, now: Millis) -> Vec<Candidate> {
-    let covered = covered(tables);
+/// Returns the steps with waiting tasks, the most urgent first; `covered` are the jobs that are
+/// covered by their client account's guarantee.
+pub fn candidates(tables: &Tables, covered: &[Id], now: Millis) -> Vec<Candidate> {
     let mut candidates = Vec::new();
-    for (&id, job) in &tables.jobs {
-        if !job.is_active() {
-            continue;
-        }
-        let queue = tables.queue(job);
-        let critical_paths = critical_paths(job.steps());
-        let longest = critical_paths.iter().max().copied().unwrap_or(0);
-        for (&occurrence, row) in &job.occurrences {
-            let objective = longest * queue.stretch_permille / 1000 + queue.target_ms;
-            for (step, task_states) in row.steps.iter().enumerate() {
-                if !is_due(job, occurrence, step, now) {
-                    continue;
-                }
-                let gang = job.steps()[step].gang;
-                if gang && task_states.iter().any(|task_state| task_state.live.is_some()) {
-                    continue;
-                }
-                let waits = |task_state: &super::table::TaskState| {
-                    !task_state.done && task_state.live.is_none()
-                };
-                let waiting: Vec<u32> = task_states
-                    .iter()
-                    .enumerate()
-                    .filter(|(_, task_state)| waits(task_state))
-                    .map(|(index, _)| index as u32)
-                    .collect();
-                if waiting.is_empty() {
-                    continue;
-                }
-                let start = row.due;
-                candidates.push(Candidate {
-                    instance: StepInstance { job: id, occurrence, step: step as u16 },
-                    guaranteed: covered.binary_search(&id).is_ok(),
-                    priority: queue.priority,
-                    is_worthless: start.0 + WORTHLESS_FACTOR * objective
-                        < now.0 + critical_paths[step],
-                    latest_start: Millis(
-                        (start.0 + objective).saturating_sub(critical_paths[step]),
-                    ),
-                    since: start,
-                    waiting,
-                });
+    for &id in &tables.waiting {
+        let Some(job) = tables.jobs.get(&id).filter(|job| job.is_active()) else { continue };
+        let longest = job.critical_paths.iter().max().copied().unwrap_or(0);
+        let objective = longest * job.queue.stretch_permille / 1000 + job.queue.target_ms;
+        for row in &job.waiting {
+            let Some(occurrence) = job.occurrences.get(&row.occurrence) else { continue };
+            if now < occurrence.due {
+                continue;
             }
+            let start = occurrence.due;
+            let critical_path = job.critical_paths[usize::from(row.step)];
+            candidates.push(Candidate {
+                instance: StepInstance { job: id, occurrence: row.occurrence, step: row.step },
+                guaranteed: covered.binary_search(&id).is_ok(),
+                priority: job.queue.priority,
+                is_worthless: start.0 + WORTHLESS_FACTOR * objective < now.0 + critical_path,
+                latest_start: Millis((start.0 + objective).saturating_sub(critical_path)),
+                since: start,
+                waiting: row.tasks.clone(),
+            });
         }
     }
     candidates.sort_by_key(|candidate| {
--- a/lib/src/batch/records.rs
+++ b/lib/src/batch/records.rs
@@ -1,22 +1,23 @@
 //! Loads durable records of jobs into the tables, and produces the records to write.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::batch::job::Id;
 use crate::batch::job::Intent;
 use crate::batch::job::Record;
+use crate::batch::job::StepInstance;
+use crate::batch::job::Task;
 use crate::batch::progress;
 use crate::batch::progress::Progress;
 use crate::batch::progress::WorkerIncarnation;
 use crate::batch::table;
-use crate::batch::table::Cause;
 use crate::batch::table::Job;
 use crate::batch::table::Phase;
 use crate::batch::table::Run;
 use crate::batch::table::Tables;
 use crate::batch::table::TaskState;
 use crate::clock::Millis;
+use crate::key;
 
 /// Applies a job's record as an entry wrote it; of a known job only the caller's intent changes.
 ///
@@ -25,24 +26,12 @@
     if let Some(job) = tables.jobs.get_mut(&id) {
         if job.record.intent < record.intent {
             job.record = Arc::new(record);
+            tables.unsettled.insert(id);
         }
         return;
     }
     let age = wall_ms.saturating_sub(record.accepted_ms);
-    let job = Job {
-        record: Arc::new(record),
-        accepted: Millis(now.0.saturating_sub(age)),
-        occurrences: BTreeMap::new(),
-        next: 0,
-        from: 0,
-        started: false,
-        outcome: None,
-        recorded_outcome: None,
-        ended_ms: 0,
-        version: 0,
-        recorded_version: 0,
-    };
-    tables.jobs.insert(id, job);
+    tables.add_job(id, Millis(now.0.saturating_sub(age)), record);
 }
 
 /// Restores the progress of a job that an earlier planner recorded. Call it right after the job's
@@ -68,45 +57,51 @@
     job.recorded_outcome = progress.outcome;
     job.ended_ms = progress.ended_ms;
     job.started = progress.from != 0 || progress.outcome.is_some();
+    let mut inherited = Vec::new();
     for recorded in &progress.occurrences {
         job.next = job.next.max(recorded.number + 1);
-        let task_states = |tasks: &Vec<progress::Task>| -> Vec<TaskState> {
-            tasks
-                .iter()
-                .map(|task| {
-                    let live = task.worker.as_ref().and_then(|worker| {
-                        let found = nodes.iter().find(|(node, _)| *node == worker.node)?;
-                        Some(inherited_run(now, task.run, worker, found.1))
-                    });
-                    TaskState {
-                        run: task.run,
-                        failures: task.failures,
-                        failed_run: task.failed_run,
-                        done: task.done,
-                        checkpoint: task.checkpoint.clone(),
-                        live,
-                        avoid: Default::default(),
-                    }
-                })
-                .collect()
+        for (step, tasks) in recorded.steps.iter().enumerate() {
+            let instance = StepInstance { job: id, occurrence: recorded.number, step: step as u16 };
+            for (index, task) in tasks.iter().enumerate() {
+                let Some(recorded) = &task.worker else { continue };
+                let found = nodes.iter().find(|(node, _)| *node == recorded.node);
+                let Some((_, worker)) = found else { continue };
+                let name = Task { instance, index: index as u32 };
+                inherited.push(inherited_run(now, name, task.run, recorded, *worker));
+            }
+        }
+        let task_state = |task: &progress::Task| TaskState {
+            run: task.run,
+            failures: task.failures,
+            failed_run: task.failed_run,
+            done: task.done,
+            checkpoint: task.checkpoint.clone(),
+            live: None,
+            avoid: Default::default(),
         };
-        let steps: Vec<Vec<TaskState>> = recorded.steps.iter().map(task_states).collect();
+        let steps: Vec<Vec<TaskState>> =
+            recorded.steps.iter().map(|tasks| tasks.iter().map(task_state).collect()).collect();
         job.started |= steps.iter().flatten().any(|task_state| task_state.run != 0);
         let due = due(job, now, wall_ms, recorded.number);
         job.occurrences.insert(recorded.number, table::Occurrence { steps, due });
     }
+    for run in inherited {
+        tables.insert_run(run);
+    }
+    tables.unsettled.insert(id);
 }
 
 /// Rebuilds a run that an earlier planner left from what its record holds.
 fn inherited_run(
     now: Millis,
+    task: Task,
     number: u32,
     recorded: &WorkerIncarnation,
-    worker: crate::key::Worker,
+    worker: key::Worker,
 ) -> Run {
     Run {
         settled_at: Some(0),
-        ..Run::new(number, worker, recorded.incarnation, Phase::Running, now)
+        ..Run::new(task, number, worker, recorded.incarnation, Phase::Running, now)
     }
 }
 
@@ -131,7 +126,8 @@
         failed_run: task_state.failed_run,
         done: task_state.done,
         checkpoint: if task_state.done { String::new() } else { task_state.checkpoint.clone() },
-        worker: task_state.live.as_ref().and_then(|run| {
+        worker: task_state.live.and_then(|key| {
+            let run = tables.runs.get(key)?;
             let worker = tables.workers.get(run.worker)?;
             Some(WorkerIncarnation { node: worker.node.clone(), incarnation: run.incarnation })
         }),
@@ -163,15 +159,26 @@
     if job.recorded_version == job.version {
         job.recorded_outcome = job.outcome;
     }
-    for task_state in job.occurrences.values_mut().flat_map(|row| row.steps.iter_mut().flatten()) {
-        let Some(run) = &mut task_state.live else { continue };
-        if run.phase == Phase::Planned && run.version <= version {
+    let mut planned = std::mem::take(&mut job.planned);
+    let unrecorded_at = std::mem::take(&mut job.unrecorded_at);
+    planned.retain(|key| {
+        let Some(run) = tables.runs.get_mut(*key) else { return false };
+        if version < run.version {
+            return true;
+        }
+        if run.phase == Phase::Planned {
             run.phase = Phase::Launching;
+            tables.unsent.insert(*key);
         }
-    }
-    for worker in tables.workers.values_mut() {
+        false
+    });
+    job.planned = planned;
+    for key in unrecorded_at {
+        let Some(worker) = tables.workers.get_mut(key) else { continue };
         if worker.unrecorded.get(&id).is_some_and(|needed| *needed <= version) {
             worker.unrecorded.remove(&id);
+        } else if worker.unrecorded.contains_key(&id) {
+            job.unrecorded_at.push(key);
         }
         if worker.unrecorded.is_empty() {
             worker.acknowledged = worker.newest_end_seen;
@@ -197,22 +204,7 @@
     let ids: Vec<Id> =
         tables.jobs.iter().filter(|(_, job)| expired(job)).map(|(id, _)| *id).take(most).collect();
     for id in &ids {
-        tables.jobs.remove(id);
-        tables.dirty.remove(id);
+        tables.remove_job(*id);
     }
     ids
 }
-
-/// Marks a task's current run to be stopped; a run that was never ordered is dropped at once.
-pub fn stop_run(task_state: &mut TaskState, cause: Cause) {
-    let Some(run) = &mut task_state.live else { return };
-    match run.phase {
-        Phase::Planned => task_state.live = None,
-        Phase::Stopping(_) => {}
-        _ => {
-            run.phase = Phase::Stopping(cause);
-            run.ordered = None;
-            run.settled_at = None;
-        }
-    }
-}
--- a/lib/src/batch/reservation.rs
+++ b/lib/src/batch/reservation.rs
@@ -1,20 +1,20 @@
 //! Obtains capacity for a step that found none: by preempting less urgent runs, or by reserving
 //! capacity until other runs have ended.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::batch::assign;
 use crate::batch::event::Event;
+use crate::batch::job::Id;
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
-use crate::batch::job::Task;
 use crate::batch::observe;
 use crate::batch::place;
 use crate::batch::place::Availability;
 use crate::batch::preempt;
 use crate::batch::rank;
 use crate::batch::rank::Candidate;
-use crate::batch::records;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
 use crate::batch::table::Reservation;
@@ -25,6 +25,10 @@
 
 /// Time for which a step waits before capacity is reserved for it without preemption.
 const RESERVE_AFTER: Duration = Duration::from_secs(3);
+/// Time after which a step for which preemption found nothing is examined again.
+const EXAMINE_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum number of steps for which preemption is examined in one tick.
+const MAX_EXAMINED: usize = 8;
 /// Maximum number of steps that have capacity reserved while other runs finish.
 const MAX_RESERVED_STEPS: usize = 2;
 /// Progress since a run was first listed from which its end can be predicted, in percentage points.
@@ -42,6 +46,7 @@
     tables: &mut Tables,
     now: Millis,
     availability: &mut Availability,
+    covered: &[Id],
     candidate: &Candidate,
     step: &Step,
     events: &mut Vec<Event>,
@@ -50,7 +55,7 @@
     let all = assign::pool(tables, now, candidate, step);
     let (groups, _) = place::full_speed_groups(tables, &all, step);
     if candidate.priority == 0
-        && try_preempt(tables, now, availability, candidate, step, &groups, &all, events)
+        && try_preempt(tables, now, availability, covered, candidate, step, &groups, &all, events)
     {
         return;
     }
@@ -62,7 +67,7 @@
     {
         return;
     }
-    let remaining = |_: Task, step: &Step, run: &Run| Some(remaining_ms(step, run, now));
+    let remaining = |step: &Step, run: &Run| Some(remaining_ms(step, run, now));
     let Some(plan) =
         preempt::cheapest(tables, availability, candidate.instance, count, &groups, remaining)
     else {
@@ -71,6 +76,43 @@
     reserve(tables, now, availability, candidate, step, plan.placements, events);
 }
 
+/// Steps for which preemption is examined in one tick.
+///
+/// The search costs the same whether or not it finds anything. A step for which it found nothing
+/// is examined again after [`EXAMINE_INTERVAL`], and at most [`MAX_EXAMINED`] steps are examined
+/// in a tick; the others follow in later ticks, those that waited longest first.
+pub struct Examinations {
+    steps: BTreeSet<StepInstance>,
+}
+
+impl Examinations {
+    /// Chooses the steps to examine, and notes that they are.
+    pub fn new(tables: &mut Tables, now: Millis, candidates: &[Candidate]) -> Examinations {
+        let is_due = |candidate: &&Candidate| {
+            let examined_at = tables.examined.get(&candidate.instance);
+            (candidate.priority == 0 || RESERVE_AFTER <= now.since(candidate.since))
+                && examined_at.is_none_or(|at| EXAMINE_INTERVAL <= now.since(*at))
+        };
+        let mut due: Vec<(Option<Millis>, StepInstance)> = candidates
+            .iter()
+            .filter(is_due)
+            .map(|candidate| candidate.instance)
+            .map(|instance| (tables.examined.get(&instance).copied(), instance))
+            .collect();
+        // The sort is stable: of those that waited equally long, the most urgent come first.
+        due.sort_by_key(|(examined_at, _)| *examined_at);
+        let steps: BTreeSet<StepInstance> =
+            due.into_iter().map(|(_, instance)| instance).take(MAX_EXAMINED).collect();
+        tables.examined.extend(steps.iter().map(|instance| (*instance, now)));
+        Examinations { steps }
+    }
+
+    /// Tells whether a step is one of those to examine.
+    pub fn includes(&self, instance: StepInstance) -> bool {
+        self.steps.contains(&instance)
+    }
+}
+
 /// Estimates the remaining time of a run, in milliseconds.
 pub(super) fn remaining_ms(step: &Step, run: &Run, now: Millis) -> u64 {
     let estimate = rank::estimated_ms(step);
@@ -89,6 +131,7 @@
     tables: &mut Tables,
     now: Millis,
     availability: &mut Availability,
+    covered: &[Id],
     candidate: &Candidate,
     step: &Step,
     groups: &[Vec<key::Worker>],
@@ -96,7 +139,6 @@
     events: &mut Vec<Event>,
 ) -> bool {
     let count = if step.gang { step.tasks } else { candidate.waiting.len() as u32 };
-    let covered = rank::covered(tables);
     let slack = slack(tables, now, candidate);
     if candidate.guaranteed {
         // Guaranteed work takes capacity that is only reserved for other steps, without preemption.
@@ -113,11 +155,11 @@
             }
         }
     }
-    let price = |task: Task, step: &Step, run: &Run| {
-        let job = tables.jobs.get(&task.instance.job)?;
-        let priority = tables.queue(job).priority;
+    let price = |step: &Step, run: &Run| {
+        let id = run.task.instance.job;
+        let priority = tables.jobs.get(&id)?.queue.priority;
         let yields = candidate.priority < priority
-            || (candidate.guaranteed && covered.binary_search(&task.instance.job).is_err());
+            || (candidate.guaranteed && covered.binary_search(&id).is_err());
         if ends_within(step, run, now, slack) {
             return Some(0);
         }
@@ -147,14 +189,13 @@
         return false;
     }
     for task in &plan.victims {
-        let Some(victim) = tables.step(task.instance).cloned() else { continue };
-        let Some(task_state) = tables.task_state_mut(*task) else { continue };
-        let Some(run) = &task_state.live else { continue };
-        if place::is_ending(run.phase) || ends_within(&victim, run, now, slack) {
+        let Some(victim) = tables.step(task.instance) else { continue };
+        let Some(run) = tables.run_of(*task) else { continue };
+        if place::is_ending(run.phase) || ends_within(victim, run, now, slack) {
             continue;
         }
         events.push(Event::Preempted { task: *task, run: run.number, by: candidate.instance.job });
-        records::stop_run(task_state, Cause::Preempted);
+        tables.stop_task(*task, Cause::Preempted);
         observe::break_gang(tables, *task);
     }
     reserve(tables, now, availability, candidate, step, plan.placements, events);
--- a/lib/src/batch/supervise.rs
+++ b/lib/src/batch/supervise.rs
@@ -1,12 +1,14 @@
 //! Ends or stops runs that must not continue where they are: on workers whose grants expired,
 //! without progress, or on workers that are leaving.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 use crate::batch::event::Event;
 use crate::batch::observe;
 use crate::batch::rank;
-use crate::batch::records;
 use crate::batch::reservation;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
@@ -24,10 +26,10 @@
 
 /// Ends runs on workers whose grants have expired.
 pub fn end_expired(tables: &mut Tables, now: Millis, events: &mut Vec<Event>) {
-    let expired: Vec<key::Worker> = tables
+    let expired: SmallVec<[key::Worker; 4]> = tables
         .workers
         .iter()
-        .filter(|(_, worker)| worker.lease_until < now)
+        .filter(|(_, worker)| worker.lease_until < now && !worker.runs.is_empty())
         .map(|(key, _)| key)
         .collect();
     for key in expired {
@@ -38,52 +40,69 @@
 }
 
 /// Stops runs that make no progress, so that they are started again elsewhere.
-pub fn stop_stuck(tables: &mut Tables, now: Millis, events: &mut Vec<Event>) {
-    for task in tables.live_tasks() {
-        let Some(step) = tables.step(task.instance).cloned() else { continue };
-        let Some(task_state) = tables.task_state_mut(task) else { continue };
-        let Some(run) = &task_state.live else { continue };
-        let limit =
-            STUCK_AFTER.max(Duration::from_millis(rank::estimated_ms(&step) / STUCK_DIVISOR));
-        let working = run.phase == Phase::Running && run.seen_at.is_some() && !step.long_running;
-        if !working || 100 <= run.percent || now.since(run.progressed_at) < limit {
-            continue;
-        }
-        let key = run.worker;
-        events.push(Event::Stopped(task, run.number, Cause::Stuck.name()));
-        if !task_state.avoid.contains(&key) {
-            task_state.avoid.push(key);
-        }
-        records::stop_run(task_state, Cause::Stuck);
-        observe::break_gang(tables, task);
-        if let Some(worker) = tables.workers.get_mut(key) {
-            worker.health.record_failure(now, task.instance.job, STUCK_AFTER);
+///
+/// Only the runs of `workers`, from which reports came, are judged: the progress of runs on a
+/// silent worker is not known.
+pub fn stop_stuck(
+    tables: &mut Tables,
+    now: Millis,
+    workers: &BTreeSet<key::Worker>,
+    events: &mut Vec<Event>,
+) {
+    for &key in workers {
+        let Some(worker) = tables.workers.get(key) else { continue };
+        let reported_at = worker.last_answer.unwrap_or(Millis(0));
+        for run_key in worker.runs.clone() {
+            let Some(run) = tables.runs.get(run_key) else { continue };
+            let task = run.task;
+            let Some(step) = tables.step(task.instance) else { continue };
+            let limit =
+                STUCK_AFTER.max(Duration::from_millis(rank::estimated_ms(step) / STUCK_DIVISOR));
+            let working =
+                run.phase == Phase::Running && run.seen_at.is_some() && !step.long_running;
+            if !working || 100 <= run.percent || reported_at.since(run.progressed_at) < limit {
+                continue;
+            }
+            events.push(Event::Stopped(task, run.number, Cause::Stuck.name()));
+            if let Some(task_state) = tables.task_state_mut(task)
+                && !task_state.avoid.contains(&key)
+            {
+                task_state.avoid.push(key);
+            }
+            tables.stop_run(run_key, Cause::Stuck);
+            observe::break_gang(tables, task);
+            if let Some(worker) = tables.workers.get_mut(key) {
+                worker.health.record_failure(now, task.instance.job, STUCK_AFTER);
+            }
         }
     }
 }
 
 /// Stops runs that cannot end before their worker leaves, so that they start elsewhere sooner.
 pub fn stop_on_leaving_workers(tables: &mut Tables, now: Millis, events: &mut Vec<Event>) {
-    for task in tables.live_tasks() {
-        let Some(step) = tables.step(task.instance).cloned() else { continue };
-        let Some(run) = tables.task_state(task).and_then(|task_state| task_state.live.as_ref())
-        else {
-            continue;
-        };
-        let Some(leaves) = tables.workers.get(run.worker).and_then(|w| w.leaves_at) else {
-            continue;
-        };
-        let remaining_ms = reservation::remaining_ms(&step, run, now);
-        let stays = leaves.since(now).as_millis() as u64;
-        let patience = if step.checkpoints { 0 } else { LEAVE_SLACK_MS };
-        if run.phase != Phase::Running || run.seen_at.is_none() || remaining_ms <= stays + patience
-        {
-            continue;
-        }
-        events.push(Event::Stopped(task, run.number, Cause::Leaving.name()));
-        if let Some(task_state) = tables.task_state_mut(task) {
-            records::stop_run(task_state, Cause::Leaving);
+    let leaving: SmallVec<[(key::Worker, Millis); 4]> = tables
+        .workers
+        .iter()
+        .filter(|(_, worker)| !worker.runs.is_empty())
+        .filter_map(|(key, worker)| Some((key, worker.leaves_at?)))
+        .collect();
+    for (key, leaves_at) in leaving {
+        for run_key in tables.workers[key].runs.clone() {
+            let Some(run) = tables.runs.get(run_key) else { continue };
+            let task = run.task;
+            let Some(step) = tables.step(task.instance) else { continue };
+            let remaining_ms = reservation::remaining_ms(step, run, now);
+            let stays = leaves_at.since(now).as_millis() as u64;
+            let patience = if step.checkpoints { 0 } else { LEAVE_SLACK_MS };
+            if run.phase != Phase::Running
+                || run.seen_at.is_none()
+                || remaining_ms <= stays + patience
+            {
+                continue;
+            }
+            events.push(Event::Stopped(task, run.number, Cause::Leaving.name()));
+            tables.stop_run(run_key, Cause::Leaving);
+            observe::break_gang(tables, task);
         }
-        observe::break_gang(tables, task);
     }
 }
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -25,6 +25,7 @@
 use crate::batch::job::Task;
 use crate::batch::pace;
 use crate::batch::progress::Outcome;
+use crate::batch::rank;
 use crate::clock::Millis;
 use crate::key;
 use crate::resource::Resources;
@@ -115,6 +116,10 @@
 /// The newest run of a task, for as long as it may exist.
 #[row]
 pub struct Run {
+    /// The task.
+    pub task: Task,
+    /// Resources that it occupies on its worker.
+    pub demand: Resources,
     /// Run number.
     pub number: u32,
     /// The worker.
@@ -158,6 +163,7 @@
 
     /// Creates a run that no worker has listed yet.
     pub fn new(
+        task: Task,
         number: u32,
         worker: key::Worker,
         incarnation: u64,
@@ -165,6 +171,8 @@
         since: Millis,
     ) -> Self {
         Run {
+            task,
+            demand: Resources::default(),
             number,
             worker,
             incarnation,
@@ -199,7 +207,7 @@
     /// Newest checkpoint; empty for none.
     pub checkpoint: String,
     /// The newest run while it may exist.
-    pub live: Option<Run>,
+    pub live: Option<key::Run>,
     /// Workers on which a run of the task failed or made no progress.
     pub avoid: SmallVec<[key::Worker; 2]>,
 }
@@ -213,11 +221,34 @@
     pub due: Millis,
 }
 
+/// Tasks of a step that wait to be placed.
+#[row]
+pub struct WaitingStep {
+    /// Number of the occurrence.
+    pub occurrence: u32,
+    /// Number of the step.
+    pub step: u16,
+    /// Indices of the tasks.
+    pub tasks: Vec<u32>,
+}
+
 /// State of one job.
 #[row]
 pub struct Job {
     /// The record that the entries wrote.
     pub record: Arc<Record>,
+    /// The queue that governs the job: the configured one, or the one in its record when it is not
+    /// configured any more.
+    pub queue: Arc<Queue>,
+    /// Estimated time from the start of each step to the end of the job, in milliseconds.
+    pub critical_paths: SmallVec<[u64; 4]>,
+    /// Steps with waiting tasks whose preceding steps are done; current for jobs that are not in
+    /// [`Tables::unsettled`].
+    pub waiting: Vec<WaitingStep>,
+    /// Runs that are decided but not recorded yet.
+    pub planned: Vec<key::Run>,
+    /// Workers that may not discard ends of the job's runs before its progress is recorded.
+    pub unrecorded_at: SmallVec<[key::Worker; 4]>,
     /// When it was accepted, on the planner's clock.
     pub accepted: Millis,
     /// Occurrences that have begun and have not ended.
@@ -257,9 +288,9 @@
         self.record.intent == Intent::Wanted && self.outcome.is_none()
     }
 
-    /// Marks that its record has to be written.
-    pub fn touch(&mut self) {
-        self.version += 1;
+    /// Tells whether it has occurrences that have not begun.
+    pub fn is_recurring(&self) -> bool {
+        self.next < self.record.submission.repeat.count.max(1)
     }
 
     /// Returns the steps.
@@ -318,6 +349,17 @@
     pub paused_until: Millis,
     /// Pace of its best-effort tasks; `None` while no serving task runs there.
     pub pace: Option<pace::Pace>,
+    /// Runs that may exist on it.
+    pub runs: SmallVec<[key::Run; 8]>,
+    /// Resources that the runs of its present incarnation occupy.
+    pub used: Resources,
+}
+
+impl Worker {
+    /// Returns the resources that no run occupies.
+    pub fn free(&self) -> Resources {
+        self.capacity.minus(self.used)
+    }
 }
 
 /// Capacity reserved for a waiting step; other runs may still use it.
@@ -343,6 +385,8 @@
     pub evacuated: BTreeSet<String>,
     /// Jobs.
     pub jobs: BTreeMap<Id, Job>,
+    /// Runs that may exist.
+    pub runs: SlotMap<key::Run, Run>,
     /// Workers.
     pub workers: SlotMap<key::Worker, Worker>,
     /// Worker keys by the name of their agent.
@@ -351,8 +395,22 @@
     pub reservations: BTreeMap<StepInstance, Reservation>,
     /// Advice of the advice service by step.
     pub advice: BTreeMap<StepInstance, advice::StepAdvice>,
+    /// Steps for which preemption found nothing, and when it was examined.
+    pub examined: BTreeMap<StepInstance, Millis>,
     /// Jobs whose record has to be written.
     pub dirty: BTreeSet<Id>,
+    /// Jobs that changed since the last tick: their outcome and waiting tasks are to be determined.
+    pub unsettled: BTreeSet<Id>,
+    /// Jobs that are active; some that have just been cancelled may be among them.
+    pub active: BTreeSet<Id>,
+    /// Active jobs with occurrences that have not begun.
+    pub recurring: BTreeSet<Id>,
+    /// Jobs with tasks that wait to be placed.
+    pub waiting: BTreeSet<Id>,
+    /// Runs with an order that is to be sent or repeated.
+    pub unsent: BTreeSet<key::Run>,
+    /// Workers whose runs or measurements changed since the last tick.
+    pub changed_workers: BTreeSet<key::Worker>,
     /// When this planner took over.
     pub took_over: Millis,
 }
@@ -373,19 +431,86 @@
             bounds,
             evacuated: BTreeSet::new(),
             jobs: BTreeMap::new(),
+            runs: SlotMap::with_key(),
             workers: SlotMap::with_key(),
             nodes: HashMap::new(),
             reservations: BTreeMap::new(),
             advice: BTreeMap::new(),
+            examined: BTreeMap::new(),
             dirty: BTreeSet::new(),
+            unsettled: BTreeSet::new(),
+            active: BTreeSet::new(),
+            recurring: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+            unsent: BTreeSet::new(),
+            changed_workers: BTreeSet::new(),
             took_over: now,
         }
     }
 
-    /// Returns the queue that governs a job: the configured one, or the one in its record when it
-    /// is not configured any more.
+    /// Puts a configuration into force. The queue of every active job is looked up again, unless
+    /// the configuration is the one in force.
+    pub fn set_config(&mut self, config: Arc<Config>) {
+        if Arc::ptr_eq(&self.config, &config) {
+            return;
+        }
+        self.config = config;
+        let queues: HashMap<&str, &Queue> =
+            self.config.queues.iter().map(|queue| (queue.name.as_str(), queue)).collect();
+        for job in self.jobs.values_mut() {
+            let name = job.record.queue.name.as_str();
+            let queue = queues.get(name).copied().unwrap_or(&job.record.queue);
+            if *job.queue != *queue {
+                job.queue = Arc::new(queue.clone());
+            }
+        }
+        self.unsettled.extend(&self.active);
+    }
+
+    /// Adds a job that has just been accepted; its occurrences begin with the next tick.
+    pub fn add_job(&mut self, id: Id, accepted: Millis, record: Record) {
+        let queue = self.config.queue(&record.queue.name).unwrap_or(&record.queue).clone();
+        let job = Job {
+            queue: Arc::new(queue),
+            critical_paths: rank::critical_paths(&record.submission.steps),
+            record: Arc::new(record),
+            accepted,
+            waiting: Vec::new(),
+            planned: Vec::new(),
+            unrecorded_at: SmallVec::new(),
+            occurrences: BTreeMap::new(),
+            next: 0,
+            from: 0,
+            started: false,
+            outcome: None,
+            recorded_outcome: None,
+            ended_ms: 0,
+            version: 0,
+            recorded_version: 0,
+        };
+        self.jobs.insert(id, job);
+        self.active.insert(id);
+        self.recurring.insert(id);
+        self.unsettled.insert(id);
+    }
+
+    /// Removes a job without runs.
+    pub fn remove_job(&mut self, id: Id) {
+        self.jobs.remove(&id);
+        for jobs in [
+            &mut self.dirty,
+            &mut self.unsettled,
+            &mut self.active,
+            &mut self.recurring,
+            &mut self.waiting,
+        ] {
+            jobs.remove(&id);
+        }
+    }
+
+    /// Returns the queue that governs a job.
     pub fn queue<'a>(&'a self, job: &'a Job) -> &'a Queue {
-        self.config.queue(&job.record.queue.name).unwrap_or(&job.record.queue)
+        &job.queue
     }
 
     /// Returns a task's state.
@@ -402,11 +527,107 @@
         occurrence.steps.get_mut(usize::from(task.instance.step))?.get_mut(task.index as usize)
     }
 
+    /// Returns the newest run of a task while it may exist.
+    pub fn run_of(&self, task: Task) -> Option<&Run> {
+        self.runs.get(self.task_state(task)?.live?)
+    }
+
+    /// Returns the newest run of a task for changes that affect no index.
+    pub fn run_of_mut(&mut self, task: Task) -> Option<&mut Run> {
+        let key = self.task_state(task)?.live?;
+        self.runs.get_mut(key)
+    }
+
+    /// Adds a run of a task that has none, and returns its key.
+    pub fn insert_run(&mut self, run: Run) -> Option<key::Run> {
+        let task = run.task;
+        let demand = self.step(task.instance)?.resources();
+        let (worker, incarnation, phase) = (run.worker, run.incarnation, run.phase);
+        let key = self.runs.insert(Run { demand, ..run });
+        if let Some(task_state) = self.task_state_mut(task) {
+            task_state.live = Some(key);
+        }
+        if let Some(row) = self.workers.get_mut(worker) {
+            row.runs.push(key);
+            if row.incarnation == incarnation {
+                row.used = row.used.plus(demand);
+            }
+        }
+        if phase == Phase::Planned
+            && let Some(job) = self.jobs.get_mut(&task.instance.job)
+        {
+            job.planned.push(key);
+        }
+        self.unsettled.insert(task.instance.job);
+        self.changed_workers.insert(worker);
+        Some(key)
+    }
+
+    /// Removes a run that does not exist any more.
+    pub fn remove_run(&mut self, key: key::Run) -> Option<Run> {
+        let run = self.runs.remove(key)?;
+        self.unsent.remove(&key);
+        if let Some(task_state) = self.task_state_mut(run.task)
+            && task_state.live == Some(key)
+        {
+            task_state.live = None;
+        }
+        if let Some(row) = self.workers.get_mut(run.worker) {
+            row.runs.retain(|known| *known != key);
+        }
+        self.recount(run.worker);
+        if run.phase == Phase::Planned
+            && let Some(job) = self.jobs.get_mut(&run.task.instance.job)
+        {
+            job.planned.retain(|known| *known != key);
+        }
+        self.unsettled.insert(run.task.instance.job);
+        self.changed_workers.insert(run.worker);
+        Some(run)
+    }
+
+    /// Marks a run to be stopped; one that was never ordered is dropped at once.
+    pub fn stop_run(&mut self, key: key::Run, cause: Cause) {
+        let Some(run) = self.runs.get_mut(key) else { return };
+        match run.phase {
+            Phase::Planned => {
+                self.remove_run(key);
+            }
+            Phase::Stopping(_) => {}
+            _ => {
+                run.phase = Phase::Stopping(cause);
+                run.ordered = None;
+                run.settled_at = None;
+                self.unsent.insert(key);
+            }
+        }
+    }
+
+    /// Marks the newest run of a task to be stopped.
+    pub fn stop_task(&mut self, task: Task, cause: Cause) {
+        if let Some(key) = self.task_state(task).and_then(|task_state| task_state.live) {
+            self.stop_run(key, cause);
+        }
+    }
+
+    /// Computes the resources in use on a worker anew from its runs.
+    pub fn recount(&mut self, worker: key::Worker) {
+        let Some(row) = self.workers.get_mut(worker) else { return };
+        // A run whose worker has restarted since uses no resources of the new incarnation.
+        row.used = row
+            .runs
+            .iter()
+            .filter_map(|key| self.runs.get(*key))
+            .filter(|run| run.incarnation == row.incarnation)
+            .fold(Resources::default(), |used, run| used.plus(run.demand));
+    }
+
     /// Marks that a job's record has to be written.
     pub fn touch(&mut self, id: Id) {
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.touch();
+            job.version += 1;
             self.dirty.insert(id);
+            self.unsettled.insert(id);
         }
     }
 
@@ -440,29 +661,13 @@
             health: health::Health::default(),
             paused_until: Millis(0),
             pace: None,
+            runs: SmallVec::new(),
+            used: Resources::default(),
         });
         self.nodes.insert(node.to_owned(), key);
         key
     }
 
-    /// Returns every task with a run that may exist.
-    pub fn live_tasks(&self) -> Vec<Task> {
-        let mut tasks = Vec::new();
-        for (&job, row) in &self.jobs {
-            for (&occurrence, tasks_of) in &row.occurrences {
-                for (step, task_states) in tasks_of.steps.iter().enumerate() {
-                    let instance = StepInstance { job, occurrence, step: step as u16 };
-                    let live = task_states
-                        .iter()
-                        .enumerate()
-                        .filter(|(_, task_state)| task_state.live.is_some());
-                    tasks.extend(live.map(|(index, _)| Task { instance, index: index as u32 }));
-                }
-            }
-        }
-        tasks
-    }
-
     /// Returns a step.
     pub fn step(&self, instance: StepInstance) -> Option<&Step> {
         self.jobs.get(&instance.job)?.steps().get(usize::from(instance.step))
--- a/lib/src/batch/wave.rs
+++ b/lib/src/batch/wave.rs
@@ -112,15 +112,15 @@
 
 /// Returns the work that is lost when a worker is stopped, in core-milliseconds.
 fn lost_work(tables: &Tables, now: Millis, worker: &str) -> u64 {
-    let on_it = |task: &crate::batch::job::Task| {
-        let run = tables.task_state(*task).and_then(|task_state| task_state.live.as_ref())?;
-        let here = tables.workers.get(run.worker).is_some_and(|row| row.id == worker);
-        let step = tables.step(task.instance)?;
-        // Callers depend on a task that runs until it is cancelled, so its VM goes last.
-        here.then(|| {
-            preempt::lost_work(step, run, now)
-                + if step.long_running { u64::from(u32::MAX) } else { 0 }
+    let Some((_, row)) = tables.workers.iter().find(|(_, row)| row.id == worker) else { return 0 };
+    row.runs
+        .iter()
+        .filter_map(|key| {
+            let run = tables.runs.get(*key)?;
+            let step = tables.step(run.task.instance)?;
+            // Callers depend on a task that runs until it is cancelled, so its VM goes last.
+            let last = if step.long_running { u64::from(u32::MAX) } else { 0 };
+            Some(preempt::lost_work(step, run, now) + last)
         })
-    };
-    tables.live_tasks().iter().filter_map(on_it).sum()
+        .sum()
 }
--- a/lib/src/key.rs
+++ b/lib/src/key.rs
@@ -15,4 +15,6 @@
     pub struct Guarantee;
     /// Key of a job's row.
     pub struct Job;
+    /// Key of a run's row.
+    pub struct Run;
 }
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -1,10 +1,13 @@
 //! Simulation of workers around the planner's tables, with a clock of its own.
 //!
-//! It runs a workload against the planner's decisions and checks two invariants at every step: no
-//! worker exceeds its capacity, and no task has two runs at a time.
+//! It runs a workload against the planner's decisions and checks three invariants at every step: no
+//! worker exceeds its capacity, no task has two runs at a time, and the lists and figures that the
+//! tables keep are what their rows say.
 
 #![allow(dead_code)]
 
+pub mod indices;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -362,7 +365,25 @@
         }
     }
 
-    fn report_of(&self, index: usize) -> Report {
+    /// Ends a run with success, without any report of it.
+    pub fn end_run(&mut self, index: usize, task: Task) {
+        let worker = &mut self.workers[index];
+        let run = worker.runs.remove(&task).expect("a run of the worker");
+        self.done.insert(task);
+        worker.last_end += 1;
+        worker.refused.insert(task, run.run);
+        worker.ends.push(End {
+            number: worker.last_end,
+            task,
+            run: run.run,
+            ending: Ending::Done,
+            how: "done".to_owned(),
+            checkpoint: String::new(),
+        });
+    }
+
+    /// Returns the report that an agent would send now.
+    pub fn report_of(&self, index: usize) -> Report {
         let worker = &self.workers[index];
         let incarnation = worker.believed_incarnation.unwrap_or(worker.incarnation);
         let row = |(task, run): (&Task, &Run)| {
@@ -415,7 +436,7 @@
     }
 
     fn tick(&mut self) {
-        self.tables.config = self.config.clone();
+        self.tables.set_config(self.config.clone());
         let (now, wall) = (Millis(self.now), self.wall());
         tick::run(&mut self.tables, now, wall);
         if !self.store_down {
@@ -511,6 +532,7 @@
 
     /// Checks the invariants.
     fn check_invariants(&self) {
+        indices::check(&self.tables);
         let mut seen: BTreeMap<Task, &str> = BTreeMap::new();
         for worker in &self.workers {
             let mut accelerators = 0;
