gangs: a refused member is replaced, and silent agents get no new work

Agents that were about to stop, and agents that did not answer, went on to be chosen until their last list was 2 s old.

Change: a refused start has not run, so the member starts on another worker under its gang's run number where the gang keeps its full speed; otherwise the gang is placed again. A report says that its agent stops; an agent that does not answer a poll counts as unreachable until its next report. The pause after a refusal doubles until a start is carried out, once for refusals that come together.

--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -89,6 +89,8 @@
     pub forgettable_ends: (u64, u64),
     /// Whether the worker answered the agent's last call.
     pub is_worker_responsive: bool,
+    /// Whether this process is stopping.
+    pub is_stopping: bool,
     /// Whether orders were executed since the worker was last polled for its runs.
     pub has_new_orders: bool,
 }
@@ -180,6 +182,7 @@
             version,
             ended_incarnation: state.ended_incarnation,
             is_worker_responsive: state.is_worker_responsive,
+            is_stopping: state.is_stopping,
             worker: state.worker.clone(),
             list: state.list.clone(),
         }
@@ -199,8 +202,9 @@
     ///
     /// The worker's tasks keep running under their lease.
     pub async fn stop(mut self) {
-        let _ = self.stop.send(true);
+        self.agent.state().is_stopping = true;
         self.agent.notify_planner();
+        let _ = self.stop.send(true);
         let all_ended = async { while self.listeners.join_next().await.is_some() {} };
         if time::timeout(STOP_WAIT, all_ended).await.is_err() {
             log::info!("event=stop-cut-short cause=\"calls still in progress\"");
@@ -241,6 +245,7 @@
             list: None,
             forgettable_ends: (0, 0),
             is_worker_responsive: true,
+            is_stopping: false,
             has_new_orders: false,
         }),
     });
--- a/daemon/src/batch/follow.rs
+++ b/daemon/src/batch/follow.rs
@@ -156,6 +156,7 @@
                     log::warn!("event=agent-lost worker={node} cause={}", Value(&cause));
                 }
                 seen = 0;
+                observe::mark_unreachable(&mut planner.tables(), &node);
                 time::sleep(PAUSE).await;
             }
         }
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -21,6 +21,7 @@
 pub mod progress;
 pub mod rank;
 pub mod records;
+pub mod refill;
 pub mod reservation;
 pub mod supervise;
 pub mod table;
--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -13,6 +13,7 @@
 use crate::batch::place::Availability;
 use crate::batch::rank;
 use crate::batch::rank::Candidate;
+use crate::batch::refill;
 use crate::batch::reservation;
 use crate::batch::table::Phase;
 use crate::batch::table::Reservation;
@@ -36,6 +37,10 @@
     tables
         .reservations
         .retain(|_, reservation| now.since(reservation.since) < lifetime(reservation));
+    if !tables.refills.is_empty() {
+        let mut availability = Availability::of(tables);
+        refill::place_refused(tables, now, &mut availability, events);
+    }
     if tables.waiting.is_empty() {
         tables.reservations.clear();
         tables.examined.clear();
@@ -246,7 +251,7 @@
         .get(usize::from(instance.step))
 }
 
-fn placed_event(
+pub(super) fn placed_event(
     tables: &Tables,
     task: Task,
     run: u32,
@@ -257,7 +262,13 @@
     Event::Placed { task, run, node: tables.workers[worker].node.clone(), choices, near }
 }
 
-fn plan_run(tables: &mut Tables, now: Millis, task: Task, number: u32, worker: key::Worker) {
+pub(super) fn plan_run(
+    tables: &mut Tables,
+    now: Millis,
+    task: Task,
+    number: u32,
+    worker: key::Worker,
+) {
     let incarnation = tables.workers[worker].incarnation;
     tables.touch(task.instance.job);
     let Some(job) = tables.jobs.get_mut(&task.instance.job) else { return };
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -128,6 +128,9 @@
     /// Whether the worker answered the agent's last call.
     #[serde(rename = "answers")]
     pub is_worker_responsive: bool,
+    /// Whether the agent's process is stopping, so that it will soon take no orders.
+    #[serde(default)]
+    pub is_stopping: bool,
     /// The worker; `None` before it has announced itself and after it has left.
     pub worker: Option<Announcement>,
     /// The worker's newest list; `None` before the first.
@@ -171,6 +174,7 @@
     worker.agent_clock = report.clock;
     worker.clock_read = now;
     worker.is_responsive = report.is_worker_responsive;
+    worker.is_reachable = !report.is_stopping;
     worker.session = report.session;
     tables.changed_workers.insert(key);
     let worker = &mut tables.workers[key];
@@ -201,6 +205,14 @@
     changes
 }
 
+/// Records that an agent did not answer: its worker gets no new work until the next report. What
+/// runs there continues under its grant.
+pub fn mark_unreachable(tables: &mut Tables, node: &str) {
+    if let Some(key) = tables.nodes.get(node) {
+        tables.workers[*key].is_reachable = false;
+    }
+}
+
 /// Discards times by the clock of an agent's earlier process.
 fn restart_clock(tables: &mut Tables, key: key::Worker) {
     for run_key in &tables.workers[key].runs {
@@ -237,6 +249,7 @@
         worker.unrecorded.clear();
         worker.health = Default::default();
         worker.paused_until = Millis(0);
+        worker.refusals = 0;
         worker.last_answer = None;
         changes.push(Change::Joined(announcement.id.clone()));
     } else if worker.ready && !announcement.ready {
@@ -497,6 +510,7 @@
             run.first_percent = row.percent;
             run.percent = row.percent;
             changes.push(Change::Began(row.task, row.run));
+            tables.workers[key].refusals = 0;
         }
         run.measure = row.measure;
         if run.percent < row.percent {
--- a/lib/src/batch/order.rs
+++ b/lib/src/batch/order.rs
@@ -12,10 +12,14 @@
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
 use crate::batch::table::Tables;
+use crate::batch::table::Worker;
 use crate::clock::Millis;
 
-/// Time for which a worker that refused a start gets no other.
+/// Time for which a worker that refused a start gets no other. It doubles with each further refusal
+/// until the worker carries out a start.
 const REFUSED_PAUSE: Duration = Duration::from_millis(400);
+/// Maximum number of times that [`REFUSED_PAUSE`] is doubled.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// An order to a worker about one run.
 #[value]
@@ -66,6 +70,14 @@
     Unknown,
 }
 
+/// Pauses a worker that refused a start; refusals of several starts at once count as one.
+fn pause_refusing(worker: &mut Worker, now: Millis) {
+    if worker.paused_until <= now {
+        worker.paused_until = now + REFUSED_PAUSE * (1 << worker.refusals.min(MAX_DOUBLINGS));
+        worker.refusals += 1;
+    }
+}
+
 /// Applies the answer to an order.
 pub fn apply_answer(tables: &mut Tables, now: Millis, order: &Order, answer: &Answer) {
     let gang = tables.step(order.task.instance).is_some_and(|step| step.gang);
@@ -102,10 +114,12 @@
             tables.remove_run(key);
             advice::drop_ticket(tables, order.task.instance, worker);
             if let Some(row) = tables.workers.get_mut(worker) {
-                row.paused_until = now + REFUSED_PAUSE;
+                pause_refusing(row, now);
             }
             tables.touch(order.task.instance.job);
-            if gang {
+            if gang && *answer != Answer::Gone {
+                tables.refills.insert(order.task.instance, order.run);
+            } else if gang {
                 observe::break_gang(tables, order.task);
             }
         }
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -129,6 +129,7 @@
     let fits = |(_, worker): &(key::Worker, &crate::batch::table::Worker)| {
         worker.ready
             && worker.is_responsive
+            && worker.is_reachable
             && worker.service == *service
             && worker.last_answer.is_some_and(|last_answer| now.since(last_answer) < SILENCE)
             && worker.paused_until <= now
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -324,6 +324,8 @@
     pub leaves_at: Option<Millis>,
     /// Whether it answered its agent's last call.
     pub is_responsive: bool,
+    /// Whether its agent answered the planner's last poll and is not stopping.
+    pub is_reachable: bool,
     /// When the newest list that was received under this planner's fencing token was requested.
     pub last_answer: Option<Millis>,
     /// Time after which no run can exist on it, unless a later list arrives.
@@ -347,6 +349,8 @@
     pub health: health::Health,
     /// Gets no new work before this time.
     pub paused_until: Millis,
+    /// Number of starts that were refused since one was carried out.
+    pub refusals: u32,
     /// Pace of its best-effort tasks; `None` while no serving task runs there.
     pub pace: Option<pace::Pace>,
     /// Runs that may exist on it.
@@ -395,6 +399,8 @@
     pub reservations: BTreeMap<StepInstance, Reservation>,
     /// Advice of the advice service by step.
     pub advice: BTreeMap<StepInstance, advice::StepAdvice>,
+    /// Gangs in which the start of some members was refused while the others may run.
+    pub refills: BTreeMap<StepInstance, u32>,
     /// Steps for which preemption found nothing, and when it was examined.
     pub examined: BTreeMap<StepInstance, Millis>,
     /// Jobs whose record has to be written.
@@ -436,6 +442,7 @@
             nodes: HashMap::new(),
             reservations: BTreeMap::new(),
             advice: BTreeMap::new(),
+            refills: BTreeMap::new(),
             examined: BTreeMap::new(),
             dirty: BTreeSet::new(),
             unsettled: BTreeSet::new(),
@@ -649,6 +656,7 @@
             ready: false,
             leaves_at: None,
             is_responsive: false,
+            is_reachable: false,
             last_answer: None,
             lease_until,
             agent_clock: 0,
@@ -660,6 +668,7 @@
             unrecorded: BTreeMap::new(),
             health: health::Health::default(),
             paused_until: Millis(0),
+            refusals: 0,
             pace: None,
             runs: SmallVec::new(),
             used: Resources::default(),
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -87,6 +87,8 @@
     pub fails: bool,
     /// Whether answers to orders are lost.
     pub loses_answers: bool,
+    /// Whether its agent refuses every start.
+    pub refuses: bool,
     /// Whether it answered its agent's last call.
     pub is_responsive: bool,
     /// Incarnation that its agent still reports, after a restart that the agent has not noticed.
@@ -178,6 +180,7 @@
                 is_stuck: false,
                 fails: false,
                 loses_answers: false,
+                refuses: false,
                 is_responsive: true,
                 believed_incarnation: None,
             })
@@ -412,6 +415,7 @@
             version: 0,
             ended_incarnation: 0,
             is_worker_responsive: worker.is_responsive,
+            is_stopping: false,
             worker: Some(announcement),
             list: worker.believed_incarnation.is_none().then(|| List {
                 incarnation,
@@ -496,6 +500,9 @@
         let work_ms = self.submitted[&order.task.instance.job].work_ms;
         let (now, fence) = (self.now, self.fence);
         let worker = &mut self.workers[index];
+        if worker.refuses {
+            return Answer::Refused("worker-leaving".into());
+        }
         if worker.refused.get(&order.task).is_some_and(|run| order.run <= *run) {
             return Answer::Refused("old".into());
         }
