leader: strong VMs lead, offers go one by one, an overloaded leader hands over

Cause: the leader was whichever entry was first, though two thirds of the entries of the large deployment have a quarter of the others' processor share and a tenth of their link; three entries were offered leadership at once and all revoked the same lease.

Change: an entry knows its processor share and link (`processor_share` and `link_mbps`) and tells them with its presence. A free leadership is taken by the strongest tier that is alive; a weaker leader hands over when nothing waits; one whose timers are late three times in a row hands over to an entry of its tier or a higher one, at most every 10 s. Offers go to one entry at a time, the next one after a refusal or 250 ms of silence. The delay of renewals is a histogram on the metrics address.

--- a/daemon/src/batch/leader.rs
+++ b/daemon/src/batch/leader.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use lavendergauge_derive::value;
+use lavendergauge_lib::batch::succession;
+use lavendergauge_lib::batch::succession::Peer;
 use lavendergauge_lib::batch::table;
 use lavendergauge_lib::clock::Millis;
 use lavendergauge_platform::Error;
@@ -17,6 +19,7 @@
 use lavendergauge_platform::store::Transaction;
 use lavendergauge_platform::store::WatchOutcome;
 use lavendergauge_wire::codec;
+use metrics::histogram;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
@@ -104,6 +107,7 @@
 
 /// Watches the leader's key, acquires leadership when it is free, and plans while it lasts.
 pub async fn follow(entry: Arc<Entry>) {
+    let mut has_waited = false;
     loop {
         // A list also returns the store's revision; the key's own may already be compacted away.
         let (found, revision) = match entry.store.list(keys::LEADER, DEADLINE).await {
@@ -116,12 +120,21 @@
         };
         match found {
             Some(item) => {
+                has_waited = false;
                 if let Some(lease) = update_leader(&entry, &item) {
                     end_predecessor(&entry, lease).await;
                 }
                 wait_for_vacancy(&entry.store, revision).await;
             }
             None if *entry.stopping.borrow() => time::sleep(PAUSE).await,
+            // Entries on stronger VMs go first.
+            None if !std::mem::replace(&mut has_waited, true) => {
+                let own = Peer {
+                    address: entry.settings.advertised_address.clone(),
+                    strength: entry.settings.strength,
+                };
+                time::sleep(succession::delay(&own, &entry.roster.peers(&entry))).await;
+            }
             None => match acquire(&entry).await {
                 Ok(Some(term)) => serve_term(&entry, Arc::new(term)).await,
                 Ok(None) => {}
@@ -266,15 +279,32 @@
 
 async fn renew_lease(entry: &Arc<Entry>, term: &Term) -> &'static str {
     let mut failing_since: Option<Millis> = None;
+    let mut watch = succession::Watch::new(clock::boot());
+    let mut lag = Duration::ZERO;
     loop {
         let sent_at = clock::boot();
+        histogram!("lavendergauge_lease_renewal_delay_seconds").record(lag.as_secs_f64());
+        if let Some(reason) = watch.hand_over(sent_at, lag, is_calm(entry)) {
+            let peers = entry.roster.peers(entry);
+            let own = entry.settings.strength;
+            let successors = succession::successors(own, reason, peers);
+            if !successors.is_empty() {
+                let (fence, lag_ms) = (term.fence, lag.as_millis());
+                log::info!("event=lead-offered fence={fence} reason={reason:?} lag_ms={lag_ms}");
+                if roster::offer(entry, term.lease, successors).await {
+                    return "handed over to an entry with more capacity";
+                }
+            }
+        }
         match entry.store.renew(term.lease, RENEW_DEADLINE).await {
             Ok(true) => {
                 term.confirm_lease(sent_at);
                 if failing_since.take().is_some() {
                     log::info!("event=lease-renewed fence={}", term.fence);
                 }
+                let pause_started_at = time::Instant::now();
                 let _ = time::timeout(RENEW_INTERVAL, term.store_failed.notified()).await;
+                lag = pause_started_at.elapsed().saturating_sub(RENEW_INTERVAL);
             }
             Ok(false) => return "lease has ended",
             Err(error) => {
@@ -291,7 +321,7 @@
                     return "lease not renewed for too long";
                 }
                 if OFFER_AFTER <= clock::boot().since(since)
-                    && roster::offer(entry, term.lease).await
+                    && roster::offer(entry, term.lease, others(entry)).await
                 {
                     return "handed over to an entry that the store serves";
                 }
@@ -301,6 +331,19 @@
     }
 }
 
+/// Returns the other entries, the strongest first.
+fn others(entry: &Entry) -> Vec<Peer> {
+    succession::offer_order(entry.roster.peers(entry))
+}
+
+/// Tells whether nothing waits to be placed, recorded or ordered, so that a hand-over delays no job.
+fn is_calm(entry: &Entry) -> bool {
+    entry.planner().is_some_and(|planner| {
+        let tables = planner.tables();
+        tables.waiting.is_empty() && tables.dirty.is_empty() && tables.unsent.is_empty()
+    })
+}
+
 /// Answers an offer of leadership from a leader that cannot renew its lease.
 ///
 /// If the store serves this entry well, it revokes the leader's lease; returns whether it has.
--- a/daemon/src/batch/message.rs
+++ b/daemon/src/batch/message.rs
@@ -154,16 +154,29 @@
 pub struct PresencePoll {
     /// Address at which the fleet's processes reach the entry.
     pub address: String,
-    /// Addresses of the entries that the sender knows to be present.
-    pub known: Vec<String>,
+    /// Strength of the entry's VM.
+    #[serde(default)]
+    pub strength: u32,
+    /// The entries that the sender knows to be present.
+    pub known: Vec<Presence>,
+}
+
+/// An entry that is present.
+#[value]
+#[derive(Serialize, Deserialize)]
+pub struct Presence {
+    /// Address at which the fleet's processes reach it.
+    pub address: String,
+    /// Strength of its VM.
+    pub strength: u32,
 }
 
 /// Answer to a [`PresencePoll`].
 #[value]
 #[derive(Serialize, Deserialize)]
 pub enum PresenceReply {
-    /// Addresses of the entries that poll the planner.
-    Entries(Vec<String>),
+    /// The entries that poll the planner.
+    Entries(Vec<Presence>),
     /// The polled entry does not run the planner.
     NotPlanner,
 }
--- a/daemon/src/batch/roster.rs
+++ b/daemon/src/batch/roster.rs
@@ -9,8 +9,9 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use lavendergauge_lib::batch::succession::Peer;
+use lavendergauge_lib::batch::succession::Strength;
 use lavendergauge_lib::clock::Millis;
-use rand::seq::SliceRandom;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -21,6 +22,7 @@
 use crate::batch::leader::Leader;
 use crate::batch::message;
 use crate::batch::message::LeadershipOffer;
+use crate::batch::message::Presence;
 use crate::batch::message::PresencePoll;
 use crate::batch::message::PresenceReply;
 use crate::clock;
@@ -37,18 +39,21 @@
 const PROBE_DEADLINE: Duration = Duration::from_millis(400);
 /// Deadline of the call that revokes the lease of a leader whose process has ended.
 const END_DEADLINE: Duration = Duration::from_millis(600);
-/// Number of entries, chosen at random, to which leadership is offered at a time.
-const MAX_OFFERS: usize = 3;
+/// Maximum number of entries to which leadership is offered in turn.
+const MAX_OFFERS: usize = 6;
 /// Deadline of an offer of leadership, including the peer's own calls to the store.
 const OFFER_DEADLINE: Duration = Duration::from_millis(700);
+/// Time without an answer to an offer after which the next entry is asked too.
+const NEXT_OFFER_AFTER: Duration = Duration::from_millis(250);
 
 /// The other entries that are known to be alive.
 #[derive(Default)]
 pub struct Roster {
-    /// At the planner: addresses of the entries that poll it, and when their presence expires.
-    present: Mutex<BTreeMap<String, Millis>>,
-    /// Addresses of the entries in the planner's last answer.
-    received: Mutex<Vec<String>>,
+    /// At the planner: the entries that poll it by their address, with their strength and when
+    /// their presence expires.
+    present: Mutex<BTreeMap<String, (u32, Millis)>>,
+    /// The entries in the planner's last answer.
+    received: Mutex<Vec<Presence>>,
     /// Increases with each entry that becomes present.
     version: watch::Sender<u64>,
 }
@@ -58,12 +63,27 @@
 }
 
 impl Roster {
-    /// Returns the addresses of the entries whose presence has not expired.
-    fn present(&self) -> Vec<String> {
+    /// Returns the entries whose presence has not expired.
+    fn present(&self) -> Vec<Presence> {
         let now = clock::boot();
         let mut present = lock(&self.present);
-        present.retain(|_, until| now < *until);
-        present.keys().cloned().collect()
+        present.retain(|_, (_, until)| now < *until);
+        let presence = |(address, (strength, _)): (&String, &(u32, Millis))| Presence {
+            address: address.clone(),
+            strength: *strength,
+        };
+        present.iter().map(presence).collect()
+    }
+
+    /// Returns the other entries that are known to be present.
+    pub fn peers(&self, entry: &Entry) -> Vec<Peer> {
+        let known =
+            if entry.planner().is_some() { self.present() } else { lock(&self.received).clone() };
+        known
+            .into_iter()
+            .filter(|presence| presence.address != entry.settings.advertised_address)
+            .map(|Presence { address, strength }| Peer { address, strength: Strength(strength) })
+            .collect()
     }
 
     /// Returns the addresses of the other entries, starting with the planner's.
@@ -73,9 +93,7 @@
             Some(_) => Vec::new(),
             None => entry.leader.borrow().iter().map(|leader| leader.address.clone()).collect(),
         };
-        let known =
-            if entry.planner().is_some() { self.present() } else { lock(&self.received).clone() };
-        for address in known {
+        for Peer { address, .. } in self.peers(entry) {
             if address != *own && !others.contains(&address) {
                 others.push(address);
             }
@@ -83,9 +101,9 @@
         others
     }
 
-    fn mark_present(&self, address: &str) {
+    fn mark_present(&self, address: &str, strength: u32) {
         let until = clock::boot() + (PRESENCE_WAIT + PRESENCE_SLACK);
-        let is_known = lock(&self.present).insert(address.to_owned(), until).is_some();
+        let is_known = lock(&self.present).insert(address.to_owned(), (strength, until)).is_some();
         if !is_known {
             self.version.send_modify(|version| *version += 1);
         }
@@ -100,7 +118,7 @@
     if entry.planner().is_none() {
         return PresenceReply::NotPlanner;
     }
-    entry.roster.mark_present(&poll.address);
+    entry.roster.mark_present(&poll.address, poll.strength);
     let mut version = entry.roster.version.subscribe();
     let until = time::Instant::now() + PRESENCE_WAIT;
     loop {
@@ -126,6 +144,7 @@
         };
         let poll = PresencePoll {
             address: entry.settings.advertised_address.clone(),
+            strength: entry.settings.strength.0,
             known: lock(&entry.roster.received).clone(),
         };
         let deadline = PRESENCE_WAIT + PRESENCE_SLACK;
@@ -177,40 +196,44 @@
     }
 }
 
-/// Offers leadership to the entries that are present.
+/// Offers leadership to entries, one after the other, until one of them accepts.
 ///
-/// Tells whether one of them has revoked the lease, after which any entry may acquire leadership.
-pub async fn offer(entry: &Arc<Entry>, lease: u64) -> bool {
+/// The next entry is asked when one declines or is silent for a while. Tells whether one of them has
+/// revoked the lease, after which any entry may acquire leadership.
+pub async fn offer(entry: &Arc<Entry>, lease: u64, peers: Vec<Peer>) -> bool {
     let mut offers = JoinSet::new();
-    let mut present = entry.roster.present();
-    present.shuffle(&mut rand::rng());
-    for address in present.into_iter().take(MAX_OFFERS) {
-        let entry = entry.clone();
-        offers.spawn(async move {
-            let offer = LeadershipOffer { lease };
-            let reply = entry
-                .client
-                .exchange::<LeadershipOffer, bool>(
-                    &address,
-                    message::LEADERSHIP_OFFER,
-                    &offer,
-                    OFFER_DEADLINE,
-                )
-                .await;
-            match reply {
-                Ok(taken) => taken,
-                Err(error) => {
-                    let cause = error.to_string();
-                    log::info!("event=offer-failed entry={address} cause={}", Value(&cause));
-                    false
-                }
-            }
-        });
+    for Peer { address, .. } in peers.into_iter().take(MAX_OFFERS) {
+        offers.spawn(offer_to(entry.clone(), lease, address));
+        match time::timeout(NEXT_OFFER_AFTER, offers.join_next()).await {
+            Ok(Some(Ok(true))) => return true,
+            Ok(_) | Err(_) => {}
+        }
     }
-    while let Some(taken) = offers.join_next().await {
-        if matches!(taken, Ok(true)) {
+    while let Some(accepted) = offers.join_next().await {
+        if matches!(accepted, Ok(true)) {
             return true;
         }
     }
     false
 }
+
+/// Offers leadership to one entry; returns whether it has accepted.
+async fn offer_to(entry: Arc<Entry>, lease: u64, address: String) -> bool {
+    let offer = LeadershipOffer { lease };
+    let reply = entry
+        .client
+        .exchange::<LeadershipOffer, bool>(
+            &address,
+            message::LEADERSHIP_OFFER,
+            &offer,
+            OFFER_DEADLINE,
+        )
+        .await;
+    match reply {
+        Ok(accepted) => accepted,
+        Err(error) => {
+            log::info!("event=offer-failed entry={address} cause={}", Value(&error.to_string()));
+            false
+        }
+    }
+}
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -4,6 +4,7 @@
 
 use lavendergauge_derive::value;
 use lavendergauge_lib::batch::config::Bounds;
+use lavendergauge_lib::batch::succession::Strength;
 use log::LevelFilter;
 
 use crate::settings_file;
@@ -93,6 +94,8 @@
     pub machines_address: String,
     /// Limits that the planner works with.
     pub bounds: Bounds,
+    /// How much work the VM can do.
+    pub strength: Strength,
     /// Time after which a removed key must no longer be accepted.
     pub revoke: Duration,
     /// Time in which a process must end after it is ordered to stop.
@@ -340,6 +343,10 @@
             reclaim_ms: scaled(file, "reclaim_ms", 1.0),
             keep_ms: scaled(file, "keep_s", 1000.0),
         },
+        strength: Strength::new(
+            scaled(file, "processor_share", 1000.0),
+            scaled(file, "link_mbps", 1.0),
+        ),
         revoke: Duration::from_millis(scaled(file, "revoke_ms", 1.0)),
         stop: Duration::from_millis(scaled(file, "stop_s", 1000.0)),
     }
--- a/daemon/src/settings_key.rs
+++ b/daemon/src/settings_key.rs
@@ -143,6 +143,8 @@
     key("batch", "service_address", Audience::BatchEntry, Kind::Address, REQUIRED, "address at which callers' requests are received"),
     key("batch", "ready_address", Audience::BatchEntry, Kind::Address, REQUIRED, "address of the health check for callers' load balancer"),
     key("batch", "machines_address", Audience::BatchEntry, Kind::Address, Some(""), "address of the platform's VM service"),
+    key("batch", "processor_share", Audience::BatchEntry, Kind::Amount(0..=1024), Some("1"), "processor cores that the VM gives to the process; entries with more are preferred as the leader"),
+    key("batch", "link_mbps", Audience::BatchEntry, Kind::Amount(0..=1_000_000), Some("1000"), "bandwidth of the VM's link, in megabits per second; a narrow one makes a worse leader"),
     key("batch", "stop_grace_ms", Audience::BatchEntry, Kind::Amount(0..=600_000), Some("1000"), "longest time that a stopped task takes to end, in milliseconds"),
     key("batch", "remote_factor", Audience::BatchEntry, Kind::Amount(1..=1000), Some("3"), "factor by which a task away from its data or split over racks is slowed"),
     key("batch", "reclaim_ms", Audience::BatchEntry, Kind::Amount(100..=3_600_000), Some("3300"), "time in which guaranteed jobs must start, in milliseconds"),
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -23,6 +23,7 @@
 pub mod records;
 pub mod refill;
 pub mod reservation;
+pub mod succession;
 pub mod supervise;
 pub mod table;
 pub mod tick;
