leader: an entry whose term ended leaves the leadership to stronger ones again

Cause: weak_planner_hands_over failed once in a run of the whole suite. The former leader still counted as having waited, and knew no other entry, since a leader is told of none by its own presence polls; so it took the leadership back whenever it was faster than the entry that had accepted it. The failure then showed in every run with the second fault alone mended.

Change: a former leader keeps the entries that were present as those it knows, and waits its turn again after each term.

--- a/daemon/src/batch/leader.rs
+++ b/daemon/src/batch/leader.rs
@@ -136,7 +136,10 @@
                 time::sleep(succession::delay(&own, &entry.roster.peers(&entry))).await;
             }
             None => match acquire(&entry).await {
-                Ok(Some(term)) => serve_term(&entry, Arc::new(term)).await,
+                Ok(Some(term)) => {
+                    serve_term(&entry, Arc::new(term)).await;
+                    has_waited = false;
+                }
                 Ok(None) => {}
                 Err(error) => {
                     log::warn!("event=lead-not-taken cause={}", Value(&error.to_string()));
@@ -271,6 +274,8 @@
         () = term.deposed.notified() => "an agent follows a newer planner",
         _ = stopping.wait_for(|stopping| *stopping) => "process stops",
     };
+    // Without them, this entry would not know that it has to leave the leadership to a stronger one.
+    entry.roster.keep_present();
     entry.set_planner(None);
     entry.leader.send_replace(None);
     log::info!("event=duty-lost planner={} fence={} cause=\"{cause}\"", entry.name, term.fence);
--- a/daemon/src/batch/roster.rs
+++ b/daemon/src/batch/roster.rs
@@ -101,6 +101,12 @@
         others
     }
 
+    /// Keeps the entries that are present as the known ones, when a term of this entry ends.
+    pub fn keep_present(&self) {
+        let present = self.present();
+        *lock(&self.received) = present;
+    }
+
     fn mark_present(&self, address: &str, strength: u32) {
         let until = clock::boot() + (PRESENCE_WAIT + PRESENCE_SLACK);
         let is_known = lock(&self.present).insert(address.to_owned(), (strength, until)).is_some();
