placing: less urgent work leaves capacity free for urgent gangs to come

Change: accelerators for the urgent jobs of the next 0.8 s, as they arrived in the last 4 s and at most 15 % of the fleet, stay free of less urgent steps that have used less than 40 % of the time before their latest start.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod dispatch;
 pub mod event;
+pub mod headroom;
 pub mod health;
 pub mod job;
 pub mod observe;
--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -6,6 +6,7 @@
 use lavendergauge_derive::token;
 
 use crate::batch::event::Event;
+use crate::batch::headroom::Headroom;
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
@@ -53,17 +54,26 @@
     tables.reservations.retain(|instance, _| waiting.contains(instance));
     tables.examined.retain(|instance, _| waiting.contains(instance));
     let mut availability = Availability::of(tables);
+    let mut headroom = Headroom::of(tables, now);
     let examinations = reservation::Examinations::new(tables, now, &candidates);
     for candidate in &candidates {
         let Some(step) = tables.step(candidate.instance).cloned() else { continue };
+        let waiting = candidate.waiting.len() as u32;
+        let allowed = headroom.allowed(now, candidate, step.accelerators, waiting);
+        if allowed == 0 || (step.gang && allowed < waiting) {
+            continue;
+        }
         if let Some(reservation) = tables.reservations.get(&candidate.instance) {
             availability.cancel_reservation(&step, &reservation.placements);
         }
+        let runs_before = tables.runs.len();
         let placed = if step.gang {
             place_gang(tables, now, &mut availability, candidate, &step, events)
         } else {
-            place_tasks(tables, now, &mut availability, candidate, &step, events)
+            place_tasks(tables, now, &mut availability, candidate, &step, allowed, events)
         };
+        let placed_count = (tables.runs.len() - runs_before) as u32;
+        headroom.take(placed_count * step.accelerators);
         let reservation = match placed {
             Placed::All => {
                 tables.reservations.remove(&candidate.instance);
@@ -201,13 +211,14 @@
     Placed::All
 }
 
-/// Places as many of the waiting tasks as there is capacity for.
+/// Places as many of the waiting tasks as there is capacity for, at most `most`.
 fn place_tasks(
     tables: &mut Tables,
     now: Millis,
     availability: &mut Availability,
     candidate: &Candidate,
     step: &Step,
+    most: u32,
     events: &mut Vec<Event>,
 ) -> Placed {
     let pool = pool(tables, now, candidate, step);
@@ -218,7 +229,7 @@
     let mut placed = 0;
     let slowed = std::slice::from_ref(&pool);
     for (groups, near) in [(groups.as_slice(), true), (slowed, false)] {
-        let remaining = (candidate.waiting.len() - placed) as u32;
+        let remaining = most - placed as u32;
         if remaining == 0 || (!near && (!slows_elsewhere || !may_slow)) {
             break;
         }
--- a/lib/src/batch/rank.rs
+++ b/lib/src/batch/rank.rs
@@ -71,7 +71,7 @@
 }
 
 /// Returns the number of accelerators that a job needs at a time.
-fn accelerators_needed(job: &Job) -> u32 {
+pub(super) fn accelerators_needed(job: &Job) -> u32 {
     job.steps().iter().map(|step| step.accelerators * step.tasks).max().unwrap_or(0)
 }
 
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -15,6 +15,7 @@
 use crate::batch::config::Bounds;
 use crate::batch::config::Config;
 use crate::batch::config::Queue;
+use crate::batch::headroom;
 use crate::batch::health;
 use crate::batch::job::Id;
 use crate::batch::job::Intent;
@@ -403,6 +404,8 @@
     pub refills: BTreeMap<StepInstance, u32>,
     /// Steps for which preemption found nothing, and when it was examined.
     pub examined: BTreeMap<StepInstance, Millis>,
+    /// Recent arrivals of the most urgent jobs.
+    pub urgent_arrivals: headroom::Arrivals,
     /// Jobs whose record has to be written.
     pub dirty: BTreeSet<Id>,
     /// Jobs that changed since the last tick: their outcome and waiting tasks are to be determined.
@@ -444,6 +447,7 @@
             advice: BTreeMap::new(),
             refills: BTreeMap::new(),
             examined: BTreeMap::new(),
+            urgent_arrivals: headroom::Arrivals::default(),
             dirty: BTreeSet::new(),
             unsettled: BTreeSet::new(),
             active: BTreeSet::new(),
@@ -495,6 +499,9 @@
             version: 0,
             recorded_version: 0,
         };
+        if job.queue.priority == 0 && job.record.submission.repeat.count == 0 {
+            self.urgent_arrivals.record(accepted, rank::accelerators_needed(&job));
+        }
         self.jobs.insert(id, job);
         self.active.insert(id);
         self.recurring.insert(id);
--- /dev/null
+++ b/lib/tests/batch_headroom.rs
@@ -0,0 +1,75 @@
+//! Less urgent work leaves capacity free for urgent gangs while they keep arriving.
+
+mod batch_sim;
+
+use batch_sim::Simulation;
+use batch_sim::step;
+use lavendergauge_lib::batch::job::Step;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Load: patient jobs of many small tasks that together would fill the fleet, and two urgent gangs a
+/// second, for `seconds`. Returns the shares of urgent and patient jobs that end in time, in
+/// percent, and the work that stops threw away for each second, in milliseconds.
+fn play(seed: u64, seconds: u64, patient_interval_ms: u64) -> (u64, u64, u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut sim = Simulation::new(8);
+    for tick in 0..seconds * 10 {
+        let at = tick * 100;
+        if at % patient_interval_ms == 0 {
+            let work = rng.random_range(5000..9000);
+            let patient = Step { checkpoints: rng.random(), ..step(60, 1, work) };
+            sim.submit("patient", "praha", vec![patient], work);
+        }
+        if 4000 <= at && at % 500 == 0 {
+            let work = rng.random_range(1500..3000);
+            let accelerators = [1, 2, 4, 8][rng.random_range(0..4)];
+            let width = rng.random_range(2..5);
+            let gang = Step { gang: true, ..step(width, accelerators, work) };
+            sim.submit("urgent", "brno", vec![gang], work);
+        }
+        sim.run_for(100);
+    }
+    assert!(sim.run_until_ended(120_000), "seed {seed}: every job ends");
+    let wasted = sim.wasted_ms / seconds;
+    (sim.percent_in_objective("urgent"), sim.percent_in_objective("patient"), wasted)
+}
+
+#[test]
+fn urgent_gangs_start_in_time() {
+    for seed in 0..4 {
+        let (urgent, patient, wasted) = play(seed, 24, 2500);
+        assert!(90 <= urgent, "seed {seed}: {urgent} % of the urgent jobs in time");
+        assert!(90 <= patient, "seed {seed}: {patient} % of the patient jobs in time");
+        println!("seed {seed}: urgent {urgent} % patient {patient} % wasted {wasted} ms/s");
+    }
+}
+
+#[test]
+fn no_urgent_work() {
+    // Nothing is left free for jobs that do not come.
+    let mut sim = Simulation::new(1);
+    let id = sim.submit("patient", "praha", vec![step(24, 1, 3000)], 3000);
+    sim.run_for(200);
+    assert!(sim.all_started(id).is_some());
+}
+
+#[test]
+fn patience_ends() {
+    // However many urgent jobs come, a less urgent one gets its turn while it can still be in time.
+    let mut sim = Simulation::new(1);
+    for _ in 0..10 {
+        sim.submit("urgent", "brno", vec![step(1, 8, 600)], 600);
+        sim.run_for(400);
+    }
+    let id = sim.submit("patient", "praha", vec![step(20, 1, 3000)], 3000);
+    // With 20 tasks of the patient job, no accelerator is left free for the urgent jobs to come.
+    for _ in 0..80 {
+        sim.submit("urgent", "brno", vec![step(1, 2, 150)], 150);
+        sim.run_for(100);
+    }
+    let latest_start_ms = sim.submitted[&id].objective_ms - 3000;
+    let started = sim.all_started(id);
+    assert!(started.is_some_and(|ms| ms < latest_start_ms), "{started:?} of {latest_start_ms}");
+}
