--- a/lib/tests/batch_runs.rs
+++ b/lib/tests/batch_runs.rs
@@ -269,3 +269,35 @@
     let removed = records::expire(&mut sim.tables, u64::MAX, 2);
     assert_eq!((removed.len(), sim.tables.jobs.len()), (2, 3));
 }
+
+#[test]
+fn silence_is_not_lack_of_progress() {
+    // A worker that was silent for almost as long as its grant keeps its run: silence says nothing
+    // about progress, and the run went on all the while.
+    for offset in (0..200).step_by(20) {
+        let mut sim = Simulation::new(1);
+        let id = sim.submit("plain", "brno", vec![step(1, 8, 20_000)], 20_000);
+        sim.run_for(2000 + offset);
+        let node = sim.starts[0].3.clone();
+        let index = sim.workers.iter().position(|w| w.node == node).unwrap();
+        sim.workers[index].reachable = false;
+        sim.run_for(table::GRANT.as_millis() as u64 - 60);
+        sim.workers[index].reachable = true;
+        assert!(sim.run_until_ended(20_000));
+        assert_eq!(sim.state(id), Some(State::Completed));
+        assert_eq!((sim.starts.len(), sim.wasted_ms), (1, 0), "offset {offset}");
+    }
+}
+
+#[test]
+fn departed_worker_after_restarts() {
+    // After restarts of the planner and of an agent, a late heartbeat of a worker that has left
+    // announces it again. It gets no work, since it answers nothing.
+    let mut sim = Simulation::new(1);
+    sim.restart_unnoticed(0);
+    sim.take_over();
+    sim.run_for(100);
+    sim.submit("plain", "brno", vec![step(2, 8, 600)], 600);
+    assert!(sim.run_until_ended(5000));
+    assert!(sim.starts.iter().all(|(_, _, _, node)| node != "side-0"));
+}
