leader: offers go on in rounds, with pauses that double

Change: a round asks the next six entries, the strongest first, and the pause between rounds doubles from 250 ms to 2 s until a renewal succeeds.

--- a/daemon/src/batch/leader.rs
+++ b/daemon/src/batch/leader.rs
@@ -284,6 +284,7 @@
 
 async fn renew_lease(entry: &Arc<Entry>, term: &Term) -> &'static str {
     let mut failing_since: Option<Millis> = None;
+    let mut offers = succession::Offers::default();
     let mut watch = succession::Watch::new(clock::boot());
     let mut lag = Duration::ZERO;
     loop {
@@ -304,6 +305,7 @@
         match entry.store.renew(term.lease, RENEW_DEADLINE).await {
             Ok(true) => {
                 term.confirm_lease(sent_at);
+                offers = succession::Offers::default();
                 if failing_since.take().is_some() {
                     log::info!("event=lease-renewed fence={}", term.fence);
                 }
@@ -326,7 +328,7 @@
                     return "lease not renewed for too long";
                 }
                 if OFFER_AFTER <= clock::boot().since(since)
-                    && roster::offer(entry, term.lease, others(entry)).await
+                    && offer_round(entry, term, &mut offers).await
                 {
                     return "handed over to an entry that the store serves";
                 }
@@ -336,9 +338,10 @@
     }
 }
 
-/// Returns the other entries, the strongest first.
-fn others(entry: &Entry) -> Vec<Peer> {
-    succession::offer_order(entry.roster.peers(entry))
+/// Offers leadership to the entries of the next round, if it is due; returns whether one accepted.
+async fn offer_round(entry: &Arc<Entry>, term: &Term, offers: &mut succession::Offers) -> bool {
+    let asked = offers.round(clock::boot(), entry.roster.peers(entry));
+    !asked.is_empty() && roster::offer(entry, term.lease, asked).await
 }
 
 /// Tells whether nothing waits to be placed, recorded or ordered, so that a hand-over delays no job.
--- a/daemon/src/batch/roster.rs
+++ b/daemon/src/batch/roster.rs
@@ -39,8 +39,6 @@
 const PROBE_DEADLINE: Duration = Duration::from_millis(400);
 /// Deadline of the call that revokes the lease of a leader whose process has ended.
 const END_DEADLINE: Duration = Duration::from_millis(600);
-/// Maximum number of entries to which leadership is offered in turn.
-const MAX_OFFERS: usize = 6;
 /// Deadline of an offer of leadership, including the peer's own calls to the store.
 const OFFER_DEADLINE: Duration = Duration::from_millis(700);
 /// Time without an answer to an offer after which the next entry is asked too.
@@ -208,7 +206,7 @@
 /// revoked the lease, after which any entry may acquire leadership.
 pub async fn offer(entry: &Arc<Entry>, lease: u64, peers: Vec<Peer>) -> bool {
     let mut offers = JoinSet::new();
-    for Peer { address, .. } in peers.into_iter().take(MAX_OFFERS) {
+    for Peer { address, .. } in peers {
         offers.spawn(offer_to(entry.clone(), lease, address));
         match time::timeout(NEXT_OFFER_AFTER, offers.join_next()).await {
             Ok(Some(Ok(true))) => return true,
--- a/lib/src/batch/succession.rs
+++ b/lib/src/batch/succession.rs
@@ -33,6 +33,12 @@
 /// Time from the start of a term, and after an attempt, before an overloaded leader hands over. Where
 /// every entry is overloaded, leadership changes no more often than that.
 const OVERLOAD_INTERVAL: Duration = Duration::from_secs(10);
+/// Number of entries to which leadership is offered in one round.
+const OFFERS_PER_ROUND: usize = 6;
+/// Time from the start of the first round of offers to the next one; it doubles with each round.
+const OFFER_PAUSE: Duration = Duration::from_millis(250);
+/// Maximum number of times that [`OFFER_PAUSE`] is doubled.
+const MAX_OFFER_DOUBLINGS: u32 = 3;
 /// Delay of a leader's timers from which it counts as overloaded.
 const OVERLOAD_LAG: Duration = Duration::from_millis(150);
 /// Consecutive delays after which an overloaded leader hands over.
@@ -124,6 +130,35 @@
     offer_order(others.into_iter().filter(is_chosen).collect())
 }
 
+/// Rounds of offers of a leader that the store does not serve.
+///
+/// A round asks a few entries, the strongest first; the next round asks those after them. When the
+/// store is down for all, nobody accepts, so the pause between rounds doubles.
+#[value]
+#[derive(Default)]
+pub struct Offers {
+    /// No round before this time.
+    not_before: Millis,
+    /// Number of rounds since the store served the leader.
+    rounds: u32,
+}
+
+impl Offers {
+    /// Returns the entries to ask now; none before the next round is due.
+    pub fn round(&mut self, now: Millis, others: Vec<Peer>) -> Vec<Peer> {
+        if now < self.not_before || others.is_empty() {
+            return Vec::new();
+        }
+        let mut asked = offer_order(others);
+        let first = self.rounds as usize * OFFERS_PER_ROUND % asked.len();
+        asked.rotate_left(first);
+        asked.truncate(OFFERS_PER_ROUND);
+        self.not_before = now + OFFER_PAUSE * (1 << self.rounds.min(MAX_OFFER_DOUBLINGS));
+        self.rounds += 1;
+        asked
+    }
+}
+
 /// A leader's view of whether it should hand over during its term.
 #[value]
 pub struct Watch {
--- a/lib/tests/batch_succession.rs
+++ b/lib/tests/batch_succession.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use lavendergauge_lib::batch::succession;
+use lavendergauge_lib::batch::succession::Offers;
 use lavendergauge_lib::batch::succession::Peer;
 use lavendergauge_lib::batch::succession::Reason;
 use lavendergauge_lib::batch::succession::Strength;
@@ -96,3 +97,19 @@
     assert_eq!(chosen, [peer("b", STRONG)], "never a weaker one");
     assert!(succession::successors(Strength(STRONG), Reason::Weaker, others).is_empty());
 }
+
+#[test]
+fn offers_reach_everybody_without_a_storm() {
+    // Load: the store is down for 6 s; the leader's renewals fail every 150 ms.
+    let peers: Vec<Peer> = (0..20).map(|index| peer(&format!("{index:02}"), STRONG)).collect();
+    let mut offers = Offers::default();
+    let mut asked: Vec<String> = Vec::new();
+    for step in 0..40 {
+        let round = offers.round(Millis(1000 + step * 150), peers.clone());
+        assert!(round.len() <= 6);
+        asked.extend(round.into_iter().map(|peer| peer.address));
+    }
+    assert!(asked.len() <= 36, "{} offers", asked.len());
+    let first_rounds: std::collections::BTreeSet<&String> = asked.iter().take(24).collect();
+    assert_eq!(first_rounds.len(), 20, "everybody is asked in the first four rounds");
+}
