--- a/daemon/src/batch/roster.rs
+++ b/daemon/src/batch/roster.rs
@@ -208,9 +208,9 @@
     let mut offers = JoinSet::new();
     for Peer { address, .. } in peers {
         offers.spawn(offer_to(entry.clone(), lease, address));
-        match time::timeout(NEXT_OFFER_AFTER, offers.join_next()).await {
-            Ok(Some(Ok(true))) => return true,
-            Ok(_) | Err(_) => {}
+        let answer = time::timeout(NEXT_OFFER_AFTER, offers.join_next()).await;
+        if let Ok(Some(Ok(true))) = answer {
+            return true;
         }
     }
     while let Some(accepted) = offers.join_next().await {
--- a/lib/tests/batch_reference.rs
+++ b/lib/tests/batch_reference.rs
@@ -48,7 +48,7 @@
 
 /// Cost of preempting a run; some runs must not be preempted.
 fn price(step: &Step, run: &Run, now: Millis) -> Option<u64> {
-    (run.task.instance.job.0 % 5 != 0).then(|| preempt::lost_work(step, run, now))
+    (!run.task.instance.job.0.is_multiple_of(5)).then(|| preempt::lost_work(step, run, now))
 }
 
 /// Runs that are preempted together, with their cost.
@@ -84,6 +84,12 @@
     units
 }
 
+/// Placements, victims and cost of a plan.
+type Plan = (Vec<(key::Worker, u32)>, BTreeSet<Task>, u64);
+
+/// A worker's rank among those that take a task, and the indices of the units that it stops.
+type Offer = ((u64, usize, u32, key::Worker), Vec<usize>);
+
 /// Finds the cheapest way to place tasks by trying every unit on every worker for each of them.
 fn cheapest(
     tables: &Tables,
@@ -91,14 +97,14 @@
     step: &Step,
     count: u32,
     group: &[key::Worker],
-) -> Option<(Vec<(key::Worker, u32)>, BTreeSet<Task>, u64)> {
+) -> Option<Plan> {
     let units = units(tables, now);
     let mut free: BTreeMap<key::Worker, Resources> =
         tables.workers.iter().map(|(key, worker)| (key, worker.free())).collect();
     let mut used: BTreeSet<usize> = BTreeSet::new();
     let (mut placed, mut victims, mut total) = (BTreeMap::new(), BTreeSet::new(), 0);
     for _ in 0..count {
-        let mut best: Option<((u64, usize, u32, key::Worker), Vec<usize>)> = None;
+        let mut best: Option<Offer> = None;
         for &worker in group {
             let limit = step.max_per_worker;
             if limit != 0 && limit <= placed.get(&worker).copied().unwrap_or(0) {
