--- a/lib/src/batch/advice.rs
+++ b/lib/src/batch/advice.rs
@@ -67,7 +67,7 @@
 
 /// Tells whether a step's queue needs advice.
 pub fn is_needed(tables: &Tables, instance: StepInstance) -> bool {
-    tables.jobs.get(&instance.job).is_some_and(|job| tables.queue(job).advice_valid_ms != 0)
+    tables.jobs.get(&instance.job).is_some_and(|job| job.queue.advice_valid_ms != 0)
 }
 
 /// Returns a ticket that allows a step to start on a worker now.
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -522,11 +522,6 @@
         }
     }
 
-    /// Returns the queue that governs a job.
-    pub fn queue<'a>(&'a self, job: &'a Job) -> &'a Queue {
-        &job.queue
-    }
-
     /// Returns a task's state.
     pub fn task_state(&self, task: Task) -> Option<&TaskState> {
         let occurrence =
@@ -546,12 +541,6 @@
         self.runs.get(self.task_state(task)?.live?)
     }
 
-    /// Returns the newest run of a task for changes that affect no index.
-    pub fn run_of_mut(&mut self, task: Task) -> Option<&mut Run> {
-        let key = self.task_state(task)?.live?;
-        self.runs.get_mut(key)
-    }
-
     /// Adds a run of a task that has none, and returns its key.
     pub fn insert_run(&mut self, run: Run) -> Option<key::Run> {
         let task = run.task;
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -95,6 +95,23 @@
     pub believed_incarnation: Option<u64>,
 }
 
+impl Worker {
+    /// Ends a run and lists its end.
+    fn end_run(&mut self, task: Task, ending: Ending, how: &str) {
+        let run = self.runs.remove(&task).expect("a run of the worker");
+        self.last_end += 1;
+        self.refused.insert(task, run.run);
+        self.ends.push(End {
+            number: self.last_end,
+            task,
+            run: run.run,
+            ending,
+            how: how.to_owned(),
+            checkpoint: String::new(),
+        });
+    }
+}
+
 /// A submitted job.
 #[derive(Clone, Debug)]
 pub struct SubmittedJob {
@@ -318,22 +335,12 @@
                     None
                 };
                 let Some((ending, how)) = ending else { continue };
-                worker.runs.remove(&task);
+                worker.end_run(task, ending, how);
                 if ending != Ending::Done {
                     self.wasted_ms += now - run.began_at;
                 } else {
                     self.done.insert(task);
                 }
-                worker.last_end += 1;
-                worker.refused.insert(task, run.run);
-                worker.ends.push(End {
-                    number: worker.last_end,
-                    task,
-                    run: run.run,
-                    ending,
-                    how: how.to_owned(),
-                    checkpoint: String::new(),
-                });
             }
         }
     }
@@ -370,19 +377,8 @@
 
     /// Ends a run with success, without any report of it.
     pub fn end_run(&mut self, index: usize, task: Task) {
-        let worker = &mut self.workers[index];
-        let run = worker.runs.remove(&task).expect("a run of the worker");
+        self.workers[index].end_run(task, Ending::Done, "done");
         self.done.insert(task);
-        worker.last_end += 1;
-        worker.refused.insert(task, run.run);
-        worker.ends.push(End {
-            number: worker.last_end,
-            task,
-            run: run.run,
-            ending: Ending::Done,
-            how: "done".to_owned(),
-            checkpoint: String::new(),
-        });
     }
 
     /// Returns the report that an agent would send now.
