leader: offers go on beside the renewals of the lease

Cause, found while reading the change anew: offers are made one after the other, each may wait for 250 ms, and the lease was not renewed meanwhile. A weak leader whose stronger entries answer late, or a leader whose store is silent for a moment, lost its lease by its own offers.

Change: offers run beside the renewals; an acceptance ends the term at once, and a renewal that succeeds again breaks off the offers made for the store's silence.

--- a/daemon/src/batch/leader.rs
+++ b/daemon/src/batch/leader.rs
@@ -23,6 +23,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use tokio::time;
 
 use crate::batch::entry::Entry;
@@ -287,19 +288,18 @@
     let mut offers = succession::Offers::default();
     let mut watch = succession::Watch::new(clock::boot());
     let mut lag = Duration::ZERO;
+    // Offers go on beside the renewals: one that waits for a silent entry must not cost the lease.
+    let mut offering = JoinSet::new();
     loop {
         let sent_at = clock::boot();
         histogram!("lavendergauge_lease_renewal_delay_seconds").record(lag.as_secs_f64());
         if let Some(reason) = watch.hand_over(sent_at, lag, is_calm(entry)) {
-            let peers = entry.roster.peers(entry);
-            let own = entry.settings.strength;
+            let (own, peers) = (entry.settings.strength, entry.roster.peers(entry));
             let successors = succession::successors(own, reason, peers);
             if !successors.is_empty() {
                 let (fence, lag_ms) = (term.fence, lag.as_millis());
                 log::info!("event=lead-offered fence={fence} reason={reason:?} lag_ms={lag_ms}");
-                if roster::offer(entry, term.lease, successors).await {
-                    return "handed over to an entry with more capacity";
-                }
+                offering.spawn(roster::offer(entry.clone(), term.lease, successors));
             }
         }
         match entry.store.renew(term.lease, RENEW_DEADLINE).await {
@@ -308,9 +308,13 @@
                 offers = succession::Offers::default();
                 if failing_since.take().is_some() {
                     log::info!("event=lease-renewed fence={}", term.fence);
+                    offering.abort_all();
                 }
                 let pause_started_at = time::Instant::now();
-                let _ = time::timeout(RENEW_INTERVAL, term.store_failed.notified()).await;
+                tokio::select! {
+                    _ = time::timeout(RENEW_INTERVAL, term.store_failed.notified()) => {}
+                    Some(Ok(true)) = offering.join_next() => return "handed over to another entry",
+                }
                 lag = pause_started_at.elapsed().saturating_sub(RENEW_INTERVAL);
             }
             Ok(false) => return "lease has ended",
@@ -327,23 +331,21 @@
                 if !term.can_grant() {
                     return "lease not renewed for too long";
                 }
-                if OFFER_AFTER <= clock::boot().since(since)
-                    && offer_round(entry, term, &mut offers).await
-                {
-                    return "handed over to an entry that the store serves";
+                if OFFER_AFTER <= clock::boot().since(since) && offering.is_empty() {
+                    let asked = offers.round(clock::boot(), entry.roster.peers(entry));
+                    if !asked.is_empty() {
+                        offering.spawn(roster::offer(entry.clone(), term.lease, asked));
+                    }
+                }
+                tokio::select! {
+                    () = time::sleep(RENEW_PAUSE) => {}
+                    Some(Ok(true)) = offering.join_next() => return "handed over to another entry",
                 }
-                time::sleep(RENEW_PAUSE).await;
             }
         }
     }
 }
 
-/// Offers leadership to the entries of the next round, if it is due; returns whether one accepted.
-async fn offer_round(entry: &Arc<Entry>, term: &Term, offers: &mut succession::Offers) -> bool {
-    let asked = offers.round(clock::boot(), entry.roster.peers(entry));
-    !asked.is_empty() && roster::offer(entry, term.lease, asked).await
-}
-
 /// Tells whether nothing waits to be placed, recorded or ordered, so that a hand-over delays no job.
 fn is_calm(entry: &Entry) -> bool {
     entry.planner().is_some_and(|planner| {
--- a/daemon/src/batch/roster.rs
+++ b/daemon/src/batch/roster.rs
@@ -204,7 +204,7 @@
 ///
 /// The next entry is asked when one declines or is silent for a while. Tells whether one of them has
 /// revoked the lease, after which any entry may acquire leadership.
-pub async fn offer(entry: &Arc<Entry>, lease: u64, peers: Vec<Peer>) -> bool {
+pub async fn offer(entry: Arc<Entry>, lease: u64, peers: Vec<Peer>) -> bool {
     let mut offers = JoinSet::new();
     for Peer { address, .. } in peers {
         offers.spawn(offer_to(entry.clone(), lease, address));
