--- a/lib/src/batch/reservation.rs
+++ b/lib/src/batch/reservation.rs
@@ -79,7 +79,7 @@
 /// Steps for which preemption is examined in one tick.
 ///
 /// The search costs the same whether or not it finds anything. A step for which it found nothing
-/// is examined again after [`EXAMINE_INTERVAL`], and at most [`MAX_EXAMINED`] steps are examined
+/// is examined again after `EXAMINE_INTERVAL`, and at most `MAX_EXAMINED` steps are examined
 /// in a tick; the others follow in later ticks, those that waited longest first.
 pub struct Examinations {
     steps: BTreeSet<StepInstance>,
