assign: log why a step finds no place; read free capacity from the tables

A step that has waited for 3 s now logs the number of workers by cause. Availability keeps the workers that take new work instead of a copy of all free resources: free capacity is read from the tables, and a step that fits nowhere is not searched for.

--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -297,6 +297,20 @@
                 instance.step
             )
         }
+        Event::Waiting(instance, wait) => log::info!(
+            "event=step-waits job={} step={} away={} paused={} evacuated={} unfit={} avoided={} \
+             full={} reserved={} open={}",
+            instance.job,
+            instance.step,
+            wait.away,
+            wait.paused,
+            wait.evacuated,
+            wait.unfit,
+            wait.avoided,
+            wait.full,
+            wait.reserved,
+            wait.open
+        ),
         Event::Ended(id, outcome) => log::info!("event=job-ended job={id} outcome={outcome:?}"),
     }
 }
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -28,4 +28,5 @@
 pub mod supervise;
 pub mod table;
 pub mod tick;
+pub mod wait;
 pub mod wave;
--- a/lib/src/batch/advice.rs
+++ b/lib/src/batch/advice.rs
@@ -112,7 +112,7 @@
     let known: BTreeSet<StepInstance> =
         waiting_steps.iter().map(|(instance, _, _)| *instance).collect();
     tables.advice.retain(|instance, _| known.contains(instance));
-    let availability = Availability::of(tables);
+    let availability = Availability::of(tables, now);
     let mut questions = Vec::new();
     for (instance, step, waiting) in waiting_steps {
         if let Some(question) = question(tables, now, &availability, instance, &step, waiting) {
@@ -138,7 +138,7 @@
     if is_pending || now < step_advice.paused_until {
         return None;
     }
-    let capable = place::capable(tables, now, instance, step);
+    let capable = place::capable(tables, availability, instance, step);
     let holds: u32 = capable
         .iter()
         .filter(|key| ticket(tables, now, instance, **key).is_some())
--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -21,6 +21,7 @@
 use crate::batch::table::Run;
 use crate::batch::table::Tables;
 use crate::batch::table::TaskState;
+use crate::batch::wait;
 use crate::clock::Millis;
 use crate::key;
 
@@ -38,22 +39,23 @@
     tables
         .reservations
         .retain(|_, reservation| now.since(reservation.since) < lifetime(reservation));
-    if !tables.refills.is_empty() {
-        let mut availability = Availability::of(tables);
-        refill::place_refused(tables, now, &mut availability, events);
-    }
     if tables.waiting.is_empty() {
         tables.reservations.clear();
         tables.examined.clear();
-        return;
+        tables.explained.clear();
+        if tables.refills.is_empty() {
+            return;
+        }
     }
+    let mut availability = Availability::of(tables, now);
+    refill::place_refused(tables, now, &availability, events);
     let covered = rank::covered(tables);
     let candidates = rank::candidates(tables, &covered, now);
     let waiting: BTreeSet<StepInstance> =
         candidates.iter().map(|candidate| candidate.instance).collect();
     tables.reservations.retain(|instance, _| waiting.contains(instance));
     tables.examined.retain(|instance, _| waiting.contains(instance));
-    let mut availability = Availability::of(tables);
+    tables.explained.retain(|instance, _| waiting.contains(instance));
     let mut headroom = Headroom::of(tables, now);
     let examinations = reservation::Examinations::new(tables, now, &candidates);
     for candidate in &candidates {
@@ -67,10 +69,12 @@
             availability.cancel_reservation(&step, &reservation.placements);
         }
         let runs_before = tables.runs.len();
-        let placed = if step.gang {
-            place_gang(tables, now, &mut availability, candidate, &step, events)
+        let placed = if !availability.has_room(tables, &step) {
+            Placed::None
+        } else if step.gang {
+            place_gang(tables, now, &availability, candidate, &step, events)
         } else {
-            place_tasks(tables, now, &mut availability, candidate, &step, allowed, events)
+            place_tasks(tables, now, &availability, candidate, &step, allowed, events)
         };
         let placed_count = (tables.runs.len() - runs_before) as u32;
         headroom.take(placed_count * step.accelerators);
@@ -91,6 +95,9 @@
             availability.reserve(&step, &reservation.placements);
             continue;
         }
+        if let Some(wait) = wait::explain(tables, now, &availability, candidate, &step) {
+            events.push(Event::Waiting(candidate.instance, wait));
+        }
         let remaining = still_waiting(tables, candidate);
         if examinations.includes(candidate.instance) {
             reservation::preempt_or_reserve(
@@ -131,10 +138,11 @@
 pub(super) fn pool(
     tables: &Tables,
     now: Millis,
+    availability: &Availability,
     candidate: &Candidate,
     step: &Step,
 ) -> Vec<key::Worker> {
-    let all = place::eligible(tables, now, candidate.instance, step);
+    let all = place::eligible(tables, now, availability, candidate.instance, step);
     let healthy = place::healthy(tables, now, &all);
     let failed_on = place::failed_on(tables, candidate);
     let fresh: Vec<key::Worker> =
@@ -177,12 +185,12 @@
 fn place_gang(
     tables: &mut Tables,
     now: Millis,
-    availability: &mut Availability,
+    availability: &Availability,
     candidate: &Candidate,
     step: &Step,
     events: &mut Vec<Event>,
 ) -> Placed {
-    let pool = pool(tables, now, candidate, step);
+    let pool = pool(tables, now, availability, candidate, step);
     let (groups, slows_elsewhere) = place::full_speed_groups(tables, &pool, step);
     let instance = candidate.instance;
     let mut near = true;
@@ -200,7 +208,6 @@
     let number = task_states.iter().map(|task_state| task_state.run).max().unwrap_or(0) + 1;
     let mut index = 0;
     for (worker, count) in placements {
-        availability.occupy(worker, step, count);
         for _ in 0..count {
             let task = Task { instance, index };
             plan_run(tables, now, task, number, worker);
@@ -215,13 +222,13 @@
 fn place_tasks(
     tables: &mut Tables,
     now: Millis,
-    availability: &mut Availability,
+    availability: &Availability,
     candidate: &Candidate,
     step: &Step,
     most: u32,
     events: &mut Vec<Event>,
 ) -> Placed {
-    let pool = pool(tables, now, candidate, step);
+    let pool = pool(tables, now, availability, candidate, step);
     let (groups, slows_elsewhere) = place::full_speed_groups(tables, &pool, step);
     let may_slow = !slows_elsewhere || may_run_slowed(tables, now, candidate, step, &groups);
     let instance = candidate.instance;
@@ -235,7 +242,6 @@
         }
         let placements = place::fill(tables, availability, instance, step, groups, remaining);
         for (worker, count) in placements {
-            availability.occupy(worker, step, count);
             for index in waiting.by_ref().take(count as usize) {
                 let task = Task { instance, index };
                 let number = tables.task_state(task).map_or(1, |task_state| task_state.run + 1);
--- a/lib/src/batch/event.rs
+++ b/lib/src/batch/event.rs
@@ -7,6 +7,7 @@
 use crate::batch::job::Task;
 use crate::batch::observe::Change;
 use crate::batch::progress::Outcome;
+use crate::batch::wait::Wait;
 
 /// A decision of a tick or a change that it observed, for the log.
 #[value]
@@ -39,6 +40,8 @@
     },
     /// Capacity is reserved for a step, on a number of workers.
     Reserved(StepInstance, usize),
+    /// A step finds no place; the numbers of workers by cause.
+    Waiting(StepInstance, Wait),
     /// A job has ended.
     Ended(Id, Outcome),
 }
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -13,6 +13,7 @@
 use crate::batch::rank::Candidate;
 use crate::batch::table::Phase;
 use crate::batch::table::Tables;
+use crate::batch::table::Worker;
 use crate::clock::Millis;
 use crate::key;
 use crate::resource::Resources;
@@ -23,23 +24,27 @@
 /// Number of tasks on each worker, in the order in which the workers were chosen.
 pub type Placements = SmallVec<[(key::Worker, u32); 8]>;
 
-/// Free and reserved resources of all workers, changed by the decisions of one tick.
+/// Capacity that placement may use in one tick: the workers that take new work, and what is reserved
+/// on them. The resources that runs occupy are in the tables and change with each placement.
 #[row]
 #[derive(Default)]
 pub struct Availability {
-    /// Free resources of each worker, including reserved ones.
-    free: SecondaryMap<key::Worker, Resources>,
+    /// Workers that take new work, whatever their service.
+    takers: Vec<key::Worker>,
     /// Resources of each worker reserved for waiting steps; other runs may still use them.
     reserved: SecondaryMap<key::Worker, Resources>,
 }
 
 impl Availability {
-    /// Reads the free and the reserved resources of all workers from the tables.
-    pub fn of(tables: &Tables) -> Availability {
-        let mut availability = Availability::default();
-        for (key, worker) in &tables.workers {
-            availability.free.insert(key, worker.free());
-        }
+    /// Reads the workers that take new work and the reservations from the tables.
+    pub fn of(tables: &Tables, now: Millis) -> Availability {
+        let takes_work = |(_, worker): &(key::Worker, &Worker)| {
+            takes_work(worker, now)
+                && worker.paused_until <= now
+                && !tables.evacuated.contains(&worker.data_centre)
+        };
+        let takers = tables.workers.iter().filter(takes_work).map(|(key, _)| key).collect();
+        let mut availability = Availability { takers, reserved: SecondaryMap::new() };
         for (instance, reservation) in &tables.reservations {
             let Some(step) = tables.step(*instance) else { continue };
             availability.reserve(step, &reservation.placements);
@@ -48,16 +53,15 @@
     }
 
     /// Returns the free resources of a worker that are not reserved.
-    pub fn unreserved(&self, worker: key::Worker) -> Resources {
-        let free = self.free.get(worker).copied().unwrap_or_default();
+    pub fn unreserved(&self, tables: &Tables, worker: key::Worker) -> Resources {
+        let free = tables.workers.get(worker).map(Worker::free).unwrap_or_default();
         free.minus(self.reserved.get(worker).copied().unwrap_or_default())
     }
 
-    /// Uses resources of a worker for tasks of a step.
-    pub fn occupy(&mut self, worker: key::Worker, step: &Step, count: u32) {
-        if let Some(free) = self.free.get_mut(worker) {
-            *free = free.minus(step.resources().times(count));
-        }
+    /// Tells whether a task of a step fits on any worker that takes new work.
+    pub fn has_room(&self, tables: &Tables, step: &Step) -> bool {
+        let demand = step.resources();
+        self.takers.iter().any(|worker| demand.fits(self.unreserved(tables, *worker)))
     }
 
     /// Reserves resources for a waiting step.
@@ -86,7 +90,7 @@
         step: &Step,
         most: u32,
     ) -> u32 {
-        let fitting = self.unreserved(worker).count_fitting(step.resources(), most);
+        let fitting = self.unreserved(tables, worker).count_fitting(step.resources(), most);
         if fitting == 0 || step.max_per_worker == 0 {
             return fitting;
         }
@@ -103,14 +107,30 @@
     row.runs.iter().filter(is_of_step).count() as u32
 }
 
+/// Tells whether a worker takes new work: it is ready, and it and its agent answer.
+pub fn takes_work(worker: &Worker, now: Millis) -> bool {
+    worker.ready
+        && worker.is_responsive
+        && worker.is_reachable
+        && worker.last_answer.is_some_and(|last_answer| now.since(last_answer) < SILENCE)
+}
+
+/// Tells whether a worker has the label that a step needs, and could hold one of its tasks if it were
+/// empty.
+pub fn suits(worker: &Worker, step: &Step) -> bool {
+    (step.label.is_empty() || worker.labels.contains(&step.label))
+        && step.resources().fits(worker.capacity)
+}
+
 /// Returns the workers that may run a step, whether or not they have free capacity now.
 pub fn eligible(
     tables: &Tables,
     now: Millis,
+    availability: &Availability,
     instance: StepInstance,
     step: &Step,
 ) -> Vec<key::Worker> {
-    let mut capable = capable(tables, now, instance, step);
+    let mut capable = capable(tables, availability, instance, step);
     if advice::is_needed(tables, instance) {
         capable.retain(|key| advice::ticket(tables, now, instance, *key).is_some());
     }
@@ -120,24 +140,16 @@
 /// Returns the workers that could run a step if the advice service allows it.
 pub fn capable(
     tables: &Tables,
-    now: Millis,
+    availability: &Availability,
     instance: StepInstance,
     step: &Step,
 ) -> Vec<key::Worker> {
     let Some(job) = tables.jobs.get(&instance.job) else { return Vec::new() };
-    let service = &job.queue.service;
-    let fits = |(_, worker): &(key::Worker, &crate::batch::table::Worker)| {
-        worker.ready
-            && worker.is_responsive
-            && worker.is_reachable
-            && worker.service == *service
-            && worker.last_answer.is_some_and(|last_answer| now.since(last_answer) < SILENCE)
-            && worker.paused_until <= now
-            && !tables.evacuated.contains(&worker.data_centre)
-            && (step.label.is_empty() || worker.labels.contains(&step.label))
-            && step.resources().fits(worker.capacity)
+    let serves = |key: &key::Worker| {
+        let worker = &tables.workers[*key];
+        worker.service == job.queue.service && suits(worker, step)
     };
-    tables.workers.iter().filter(fits).map(|(key, _)| key).collect()
+    availability.takers.iter().copied().filter(serves).collect()
 }
 
 /// Finds workers of a pool for `count` tasks of a step, all or none.
@@ -177,7 +189,7 @@
     count: u32,
 ) -> Placements {
     let free = |group: &Vec<key::Worker>| -> u32 {
-        group.iter().map(|key| availability.unreserved(*key).accelerators).sum()
+        group.iter().map(|key| availability.unreserved(tables, *key).accelerators).sum()
     };
     let mut order: SmallVec<[&Vec<key::Worker>; 8]> = groups.iter().collect();
     if 1 < order.len() {
@@ -212,7 +224,7 @@
 ) -> Vec<(u32, Resources, key::Worker)> {
     let space = |key: &key::Worker| {
         let holds = availability.holds(tables, instance, *key, step, most);
-        (holds != 0).then(|| (holds, availability.unreserved(*key), *key))
+        (holds != 0).then(|| (holds, availability.unreserved(tables, *key), *key))
     };
     pool.iter().filter_map(space).collect()
 }
@@ -269,7 +281,7 @@
         .filter_map(|group| {
             let placements = pack(tables, availability, instance, step, group, step.tasks)?;
             let free: u32 =
-                group.iter().map(|key| availability.unreserved(*key).accelerators).sum();
+                group.iter().map(|key| availability.unreserved(tables, *key).accelerators).sum();
             Some((free, placements))
         })
         .min_by_key(|(free, _)| *free)
--- a/lib/src/batch/preempt.rs
+++ b/lib/src/batch/preempt.rs
@@ -162,7 +162,11 @@
     fn offer(&mut self, worker: key::Worker) -> Option<Offer> {
         let row = self.tables.workers.get(worker)?;
         let change = self.freed.get(worker).copied().unwrap_or_default();
-        let mut free = self.availability.unreserved(worker).plus(change.freed).minus(change.taken);
+        let mut free = self
+            .availability
+            .unreserved(self.tables, worker)
+            .plus(change.freed)
+            .minus(change.taken);
         let accelerators = free.accelerators;
         let max = self.step.max_per_worker;
         if max != 0 && max <= change.tasks + place::tasks_on(self.tables, self.instance, worker) {
--- a/lib/src/batch/refill.rs
+++ b/lib/src/batch/refill.rs
@@ -21,7 +21,7 @@
 pub fn place_refused(
     tables: &mut Tables,
     now: Millis,
-    availability: &mut Availability,
+    availability: &Availability,
     events: &mut Vec<Event>,
 ) {
     for (instance, run) in std::mem::take(&mut tables.refills) {
@@ -60,14 +60,14 @@
 fn place_missing(
     tables: &mut Tables,
     now: Millis,
-    availability: &mut Availability,
+    availability: &Availability,
     instance: StepInstance,
     run: u32,
     missing: &[u32],
     events: &mut Vec<Event>,
 ) -> bool {
     let Some(step) = tables.step(instance).cloned() else { return false };
-    let eligible = place::eligible(tables, now, instance, &step);
+    let eligible = place::eligible(tables, now, availability, instance, &step);
     let mut pool = place::healthy(tables, now, &eligible);
     pool.retain(|worker| keeps_full_speed(tables, instance, &step, *worker));
     let count = missing.len() as u32;
@@ -78,7 +78,6 @@
     }
     let mut members = missing.iter().copied();
     for (worker, count) in placements {
-        availability.occupy(worker, &step, count);
         for index in members.by_ref().take(count as usize) {
             let task = Task { instance, index };
             assign::plan_run(tables, now, task, run, worker);
--- a/lib/src/batch/reservation.rs
+++ b/lib/src/batch/reservation.rs
@@ -52,7 +52,7 @@
     events: &mut Vec<Event>,
 ) {
     let count = if step.gang { step.tasks } else { candidate.waiting.len() as u32 };
-    let all = assign::pool(tables, now, candidate, step);
+    let all = assign::pool(tables, now, availability, candidate, step);
     let (groups, _) = place::full_speed_groups(tables, &all, step);
     if candidate.priority == 0
         && try_preempt(tables, now, availability, covered, candidate, step, &groups, &all, events)
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -404,6 +404,8 @@
     pub refills: BTreeMap<StepInstance, u32>,
     /// Steps for which preemption found nothing, and when it was examined.
     pub examined: BTreeMap<StepInstance, Millis>,
+    /// When it was last logged why a step finds no place.
+    pub explained: BTreeMap<StepInstance, Millis>,
     /// Recent arrivals of the most urgent jobs.
     pub urgent_arrivals: headroom::Arrivals,
     /// Jobs whose record has to be written.
@@ -447,6 +449,7 @@
             advice: BTreeMap::new(),
             refills: BTreeMap::new(),
             examined: BTreeMap::new(),
+            explained: BTreeMap::new(),
             urgent_arrivals: headroom::Arrivals::default(),
             dirty: BTreeSet::new(),
             unsettled: BTreeSet::new(),
--- a/lib/tests/batch_reference.rs
+++ b/lib/tests/batch_reference.rs
@@ -158,7 +158,7 @@
         let (tables, now) = (&sim.tables, Millis(sim.now));
         let step = tables.step(instance).unwrap();
         let group: Vec<key::Worker> = tables.workers.keys().collect();
-        let availability = Availability::of(tables);
+        let availability = Availability::of(tables, now);
         let plan = preempt::cheapest(
             tables,
             &availability,
@@ -186,10 +186,10 @@
     // Tasks that run on their own go to the worker with the least free capacity, one by one.
     for seed in 0..200 {
         let (sim, instance) = crowded(seed);
-        let tables = &sim.tables;
+        let (tables, now) = (&sim.tables, Millis(sim.now));
         let step = tables.step(instance).unwrap();
         let group: Vec<key::Worker> = tables.workers.keys().collect();
-        let mut availability = Availability::of(tables);
+        let availability = Availability::of(tables, now);
         let placements = place::fill(
             tables,
             &availability,
@@ -200,20 +200,20 @@
         );
         let mut expected: BTreeMap<key::Worker, u32> = BTreeMap::new();
         for _ in 0..step.tasks {
+            let placed = |worker: &key::Worker| expected.get(worker).copied().unwrap_or(0);
+            let free = |worker: &key::Worker| {
+                let taken = step.resources().times(placed(worker));
+                availability.unreserved(tables, *worker).minus(taken)
+            };
+            let limit = step.max_per_worker;
             let worker = group
                 .iter()
                 .copied()
                 .filter(|worker| {
-                    let limit = step.max_per_worker;
-                    step.resources().fits(availability.unreserved(*worker))
-                        && (limit == 0 || expected.get(worker).is_none_or(|count| *count < limit))
+                    step.resources().fits(free(worker)) && (limit == 0 || placed(worker) < limit)
                 })
-                .min_by_key(|worker| {
-                    let free = availability.unreserved(*worker);
-                    (free.accelerators, free.processors, *worker)
-                });
+                .min_by_key(|worker| (free(worker).accelerators, free(worker).processors, *worker));
             let Some(worker) = worker else { break };
-            availability.occupy(worker, step, 1);
             *expected.entry(worker).or_default() += 1;
         }
         let found: BTreeMap<key::Worker, u32> = placements.into_iter().collect();
