--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -154,7 +154,8 @@
 
 /// Plans until leadership is lost, and returns the cause of the loss.
 pub async fn run(entry: &Arc<Entry>, term: &Arc<Term>) -> &'static str {
-    let tables = Tables::new(entry.settings.bounds, clock::boot());
+    let mut tables = Tables::new(entry.settings.bounds, clock::boot());
+    tables.policy = entry.settings.policy;
     let planner = Arc::new(Planner {
         fence: term.fence,
         wake: Notify::new(),
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -4,6 +4,7 @@
 
 use lavendergauge_derive::value;
 use lavendergauge_lib::batch::config::Bounds;
+use lavendergauge_lib::batch::policy::Policy;
 use lavendergauge_lib::batch::succession::Strength;
 use log::LevelFilter;
 
@@ -94,6 +95,8 @@
     pub machines_address: String,
     /// Limits that the planner works with.
     pub bounds: Bounds,
+    /// Optional decisions of the planner.
+    pub policy: Policy,
     /// How much work the VM can do.
     pub strength: Strength,
     /// Time after which a removed key must no longer be accepted.
@@ -322,6 +325,11 @@
     (number::<f64>(file, "batch", name) * scale).round() as u64
 }
 
+/// Tells whether a switch of `[batch]` is on.
+fn is_enabled(file: &File, name: &str) -> bool {
+    text_of(file, "batch", name) == "yes"
+}
+
 /// Returns the address at which other processes reach this one: `advertised_address`, or
 /// `peer_address` if it is not set.
 fn advertised(file: &File) -> String {
@@ -343,6 +351,15 @@
             reclaim_ms: scaled(file, "reclaim_ms", 1.0),
             keep_ms: scaled(file, "keep_s", 1000.0),
         },
+        policy: Policy {
+            run_time_model: is_enabled(file, "run_time_model"),
+            worker_speed: is_enabled(file, "worker_speed"),
+            worker_trust: is_enabled(file, "worker_trust"),
+            learned_state: is_enabled(file, "learned_state"),
+            shortage: is_enabled(file, "shortage"),
+            account_shares: is_enabled(file, "account_shares"),
+            admission: is_enabled(file, "admission"),
+        },
         strength: Strength::new(
             scaled(file, "processor_share", 1000.0),
             scaled(file, "link_mbps", 1.0),
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -18,6 +18,7 @@
 pub mod order;
 pub mod pace;
 pub mod place;
+pub mod policy;
 pub mod preempt;
 pub mod progress;
 pub mod rank;
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -25,6 +25,7 @@
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
 use crate::batch::pace;
+use crate::batch::policy::Policy;
 use crate::batch::progress::Outcome;
 use crate::batch::rank;
 use crate::clock::Millis;
@@ -386,6 +387,8 @@
     pub config: Arc<Config>,
     /// Bounds of the deployment.
     pub bounds: Bounds,
+    /// Optional decisions that the settings enable.
+    pub policy: Policy,
     /// Data centres that operators have taken out.
     pub evacuated: BTreeSet<String>,
     /// Jobs.
@@ -440,6 +443,7 @@
         Tables {
             config: Arc::default(),
             bounds,
+            policy: Policy::default(),
             evacuated: BTreeSet::new(),
             jobs: BTreeMap::new(),
             runs: SlotMap::with_key(),
