run_time: ratios of run times to estimates, per queue and account

The module keeps a histogram of observed ratios for each queue and account and serves the expected and the remaining run time at a quantile. Stopped, lost and overdue runs are censored observations. An account's observations change only what is assumed for its own jobs, and the latest start is not earlier than with correct estimates.

--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -29,6 +29,7 @@
 use lavendergauge_platform::Error;
 use lavendergauge_platform::store::Item;
 use lavendergauge_wire::codec;
+use metrics::counter;
 use metrics::histogram;
 use serde::de::DeserializeOwned;
 use tokio::sync::Notify;
@@ -312,6 +313,16 @@
             wait.reserved,
             wait.open
         ),
+        Event::RunTime { queue, account, median_permille, tail_permille, observations } => {
+            counter!("lavendergauge_run_time_changes_total").increment(1);
+            histogram!("lavendergauge_run_time_ratio").record(f64::from(*median_permille) / 1000.0);
+            log::info!(
+                "event=run-time-assumed queue={} account={} median_permille={median_permille} \
+                 tail_permille={tail_permille} observations={observations}",
+                Value(queue),
+                Value(account)
+            );
+        }
         Event::Ended(id, outcome) => log::info!("event=job-ended job={id} outcome={outcome:?}"),
     }
 }
--- a/lib/src/batch/event.rs
+++ b/lib/src/batch/event.rs
@@ -42,6 +42,19 @@
     Reserved(StepInstance, usize),
     /// A step finds no place; the numbers of workers by cause.
     Waiting(StepInstance, Wait),
+    /// The ratio of run times to estimates that is assumed for an account in a queue has changed.
+    RunTime {
+        /// Name of the queue.
+        queue: String,
+        /// Name of the account.
+        account: String,
+        /// Median ratio, in permille.
+        median_permille: u32,
+        /// Ratio at the quantile 0.9, in permille.
+        tail_permille: u32,
+        /// Number of observations, as far as they have not aged.
+        observations: u32,
+    },
     /// A job has ended.
     Ended(Id, Outcome),
 }
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use crate::batch::job::Task;
+use crate::batch::run_time;
 use crate::batch::table;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
@@ -167,7 +168,7 @@
         let has_ended = |run: &table::Run| {
             run.incarnation <= ended_incarnation && (run.seen_at.is_some() || run.is_inherited())
         };
-        end_runs_where(tables, key, &mut changes, "worker has ended", has_ended);
+        end_runs_where(tables, now, key, &mut changes, "worker has ended", has_ended);
     }
     let worker = &mut tables.workers[key];
     let has_new_session = worker.session != report.session;
@@ -201,7 +202,7 @@
     worker.grant_until = list.sent_at + table::GRANT.as_millis() as u64;
     apply_ends(tables, now, key, list, &mut changes);
     apply_running(tables, now, key, list, &mut changes);
-    end_missing_runs(tables, key, list, &mut changes);
+    end_missing_runs(tables, now, key, list, &mut changes);
     changes
 }
 
@@ -276,7 +277,7 @@
     if has_new_incarnation {
         let incarnation = announcement.incarnation;
         let ended = |run: &table::Run| run.incarnation < incarnation && run.seen_at.is_some();
-        end_runs_where(tables, key, changes, "worker restarted", ended);
+        end_runs_where(tables, now, key, changes, "worker restarted", ended);
         carry_over(tables, key, incarnation);
     }
 }
@@ -305,6 +306,7 @@
 /// Ends every run on a worker that a predicate selects, except planned ones.
 pub fn end_runs_where(
     tables: &mut Tables,
+    now: Millis,
     key: key::Worker,
     changes: &mut Vec<Change>,
     cause: &'static str,
@@ -317,7 +319,9 @@
         }
         let task = run.task;
         changes.push(Change::Lost(task, run.number, cause));
-        tables.remove_run(run_key);
+        if let Some(run) = tables.remove_run(run_key) {
+            run_time::observe_stopped(tables, now, run_key, &run);
+        }
         tables.touch(task.instance.job);
         break_gang(tables, task);
     }
@@ -391,9 +395,11 @@
     let current = live.filter(|live| {
         tables.runs.get(*live).is_some_and(|run| run.number == end.run && run.worker == key)
     });
-    let worked = current
-        .and_then(|current| tables.remove_run(current))
-        .map_or(Duration::MAX, |run| now.since(run.since));
+    let ended = current.and_then(|current| tables.remove_run(current));
+    if let (Some(key), Some(run)) = (current, &ended) {
+        run_time::observe_end(tables, now, key, run, end.ending);
+    }
+    let worked = ended.map_or(Duration::MAX, |run| now.since(run.since));
     let is_current = current.is_some();
     let Some(task_state) = tables.task_state_mut(task) else { return };
     match end.ending {
@@ -516,6 +522,9 @@
         if run.percent < row.percent {
             run.percent = row.percent;
             run.progressed_at = now;
+            if let Some(live) = live {
+                run_time::observe_progress(tables, now, live);
+            }
         }
         if row.checkpoint.is_empty() {
             continue;
@@ -531,7 +540,13 @@
 
 /// Ends the runs that are missing from a list, if the list was requested after their newest order
 /// was settled.
-fn end_missing_runs(tables: &mut Tables, key: key::Worker, list: &List, changes: &mut Vec<Change>) {
+fn end_missing_runs(
+    tables: &mut Tables,
+    now: Millis,
+    key: key::Worker,
+    list: &List,
+    changes: &mut Vec<Change>,
+) {
     for run_key in tables.workers[key].runs.clone() {
         let Some(run) = tables.runs.get(run_key) else { continue };
         let task = run.task;
@@ -542,7 +557,9 @@
             continue;
         }
         changes.push(Change::Lost(task, run.number, "not listed by its worker"));
-        tables.remove_run(run_key);
+        if let Some(run) = tables.remove_run(run_key) {
+            run_time::observe_stopped(tables, now, run_key, &run);
+        }
         tables.touch(task.instance.job);
         break_gang(tables, task);
     }
--- a/lib/src/batch/rank.rs
+++ b/lib/src/batch/rank.rs
@@ -8,6 +8,7 @@
 use crate::batch::job::Id;
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
+use crate::batch::run_time;
 use crate::batch::table::Job;
 use crate::batch::table::Tables;
 use crate::clock::Millis;
@@ -125,20 +126,25 @@
     for &id in &tables.waiting {
         let Some(job) = tables.jobs.get(&id).filter(|job| job.is_active()) else { continue };
         let longest = job.critical_paths.iter().max().copied().unwrap_or(0);
-        let objective = longest * job.queue.stretch_permille / 1000 + job.queue.target_ms;
+        let objective_of =
+            |path_ms| path_ms * job.queue.stretch_permille / 1000 + job.queue.target_ms;
+        let objective = objective_of(longest);
+        let ratio = run_time::ratio(tables, job, run_time::USUAL);
+        // An account whose estimates are too short has no earlier latest start by that.
+        let allowed = objective.max(objective_of(run_time::scale(longest, ratio)));
         for row in &job.waiting {
             let Some(occurrence) = job.occurrences.get(&row.occurrence) else { continue };
             if now < occurrence.due {
                 continue;
             }
             let start = occurrence.due;
-            let critical_path = job.critical_paths[usize::from(row.step)];
+            let critical_path = run_time::scale(job.critical_paths[usize::from(row.step)], ratio);
             candidates.push(Candidate {
                 instance: StepInstance { job: id, occurrence: row.occurrence, step: row.step },
                 guaranteed: covered.binary_search(&id).is_ok(),
                 priority: job.queue.priority,
                 is_worthless: start.0 + WORTHLESS_FACTOR * objective < now.0 + critical_path,
-                latest_start: Millis((start.0 + objective).saturating_sub(critical_path)),
+                latest_start: Millis((start.0 + allowed).saturating_sub(critical_path)),
                 since: start,
                 waiting: row.tasks.clone(),
             });
--- a/lib/src/batch/reservation.rs
+++ b/lib/src/batch/reservation.rs
@@ -15,6 +15,7 @@
 use crate::batch::preempt;
 use crate::batch::rank;
 use crate::batch::rank::Candidate;
+use crate::batch::run_time;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
 use crate::batch::table::Reservation;
@@ -67,7 +68,7 @@
     {
         return;
     }
-    let remaining = |step: &Step, run: &Run| Some(remaining_ms(step, run, now));
+    let remaining = |step: &Step, run: &Run| Some(remaining_ms(tables, step, run, now));
     let Some(plan) =
         preempt::cheapest(tables, availability, candidate.instance, count, &groups, remaining)
     else {
@@ -114,7 +115,10 @@
 }
 
 /// Estimates the remaining time of a run, in milliseconds.
-pub(super) fn remaining_ms(step: &Step, run: &Run, now: Millis) -> u64 {
+pub(super) fn remaining_ms(tables: &Tables, step: &Step, run: &Run, now: Millis) -> u64 {
+    if tables.policy.run_time_model {
+        return run_time::remaining_ms(tables, step, run, now, run_time::USUAL);
+    }
     let estimate = rank::estimated_ms(step);
     let gained = u64::from(run.percent.saturating_sub(run.first_percent));
     match run.seen_at {
@@ -160,7 +164,7 @@
         let priority = tables.jobs.get(&id)?.queue.priority;
         let yields = candidate.priority < priority
             || (candidate.guaranteed && covered.binary_search(&id).is_err());
-        if ends_within(step, run, now, slack) {
+        if ends_within(tables, step, run, now, slack) {
             return Some(0);
         }
         (yields && !step.long_running).then(|| preempt::lost_work(step, run, now))
@@ -180,7 +184,10 @@
     let Some(plan) = plan else { return false };
     // An accelerator counts as 8 cores, as in `preempt::lost_work`, with which this is compared.
     let cores = u64::from(step.processors) / 1000 + 8 * u64::from(step.accelerators);
-    let own_work = cores.max(1) * rank::estimated_ms(step) * u64::from(count);
+    let expected_ms = tables.jobs.get(&instance.job).map_or(rank::estimated_ms(step), |job| {
+        run_time::expected_ms(tables, job, step, run_time::USUAL)
+    });
+    let own_work = cores.max(1) * expected_ms * u64::from(count);
     // A job that no guarantee covers may cost others as much work as it does itself, if it starts
     // in time, and only a part of that if it is late.
     let late = candidate.latest_start < now + Duration::from_millis(tables.bounds.stop_grace_ms);
@@ -191,7 +198,7 @@
     for task in &plan.victims {
         let Some(victim) = tables.step(task.instance) else { continue };
         let Some(run) = tables.run_of(*task) else { continue };
-        if place::is_ending(run.phase) || ends_within(victim, run, now, slack) {
+        if place::is_ending(run.phase) || ends_within(tables, victim, run, now, slack) {
             continue;
         }
         events.push(Event::Preempted { task: *task, run: run.number, by: candidate.instance.job });
@@ -217,12 +224,12 @@
 }
 
 /// Tells whether a run will end by itself within a time, judging by its progress so far.
-fn ends_within(step: &Step, run: &Run, now: Millis, time: Duration) -> bool {
+fn ends_within(tables: &Tables, step: &Step, run: &Run, now: Millis, time: Duration) -> bool {
     let gained = run.percent.saturating_sub(run.first_percent);
     run.phase == Phase::Running
         && !step.long_running
         && PREDICTABLE_PERCENT <= gained
-        && remaining_ms(step, run, now) <= time.as_millis() as u64
+        && remaining_ms(tables, step, run, now) <= time.as_millis() as u64
 }
 
 fn reserve(
--- a/lib/src/batch/supervise.rs
+++ b/lib/src/batch/supervise.rs
@@ -34,7 +34,7 @@
         .collect();
     for key in expired {
         let mut changes = Vec::new();
-        observe::end_runs_where(tables, key, &mut changes, "lease expired", |_| true);
+        observe::end_runs_where(tables, now, key, &mut changes, "lease expired", |_| true);
         events.extend(changes.into_iter().map(Event::Changed));
     }
 }
@@ -91,7 +91,7 @@
             let Some(run) = tables.runs.get(run_key) else { continue };
             let task = run.task;
             let Some(step) = tables.step(task.instance) else { continue };
-            let remaining_ms = reservation::remaining_ms(step, run, now);
+            let remaining_ms = reservation::remaining_ms(tables, step, run, now);
             let stays = leaves_at.since(now).as_millis() as u64;
             let patience = if step.checkpoints { 0 } else { LEAVE_SLACK_MS };
             if run.phase != Phase::Running
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -28,6 +28,7 @@
 use crate::batch::policy::Policy;
 use crate::batch::progress::Outcome;
 use crate::batch::rank;
+use crate::batch::run_time;
 use crate::clock::Millis;
 use crate::key;
 use crate::resource::Resources;
@@ -409,6 +410,8 @@
     pub examined: BTreeMap<StepInstance, Millis>,
     /// When it was last logged why a step finds no place.
     pub explained: BTreeMap<StepInstance, Millis>,
+    /// What was learned about run times; only used if [`Policy::run_time_model`] is on.
+    pub run_times: run_time::RunTimes,
     /// Recent arrivals of the most urgent jobs.
     pub urgent_arrivals: headroom::Arrivals,
     /// Jobs whose record has to be written.
@@ -454,6 +457,7 @@
             refills: BTreeMap::new(),
             examined: BTreeMap::new(),
             explained: BTreeMap::new(),
+            run_times: run_time::RunTimes::default(),
             urgent_arrivals: headroom::Arrivals::default(),
             dirty: BTreeSet::new(),
             unsettled: BTreeSet::new(),
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -9,6 +9,7 @@
 use crate::batch::progress::Outcome;
 use crate::batch::rank;
 use crate::batch::records;
+use crate::batch::run_time;
 use crate::batch::supervise;
 use crate::batch::table::Cause;
 use crate::batch::table::Job;
@@ -33,6 +34,9 @@
     supervise::stop_on_leaving_workers(tables, now, &mut events);
     pace::adjust(tables, now, &changed_workers);
     settle(tables, wall_ms, &mut events);
+    if tables.policy.run_time_model {
+        run_time::refresh(&mut tables.run_times, now, &mut events);
+    }
     assign::place_all(tables, now, &mut events);
     events
 }
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -258,6 +258,21 @@
         id
     }
 
+    /// Submits a job whose objective follows from `work_ms` while each of its tasks takes
+    /// `duration_ms`.
+    pub fn submit_lasting(
+        &mut self,
+        queue_name: &str,
+        account: &str,
+        steps: Vec<Step>,
+        work_ms: u64,
+        duration_ms: u64,
+    ) -> Id {
+        let id = self.submit(queue_name, account, steps, work_ms);
+        self.submitted.get_mut(&id).expect("the job just submitted").work_ms = duration_ms;
+        id
+    }
+
     /// Cancels a job.
     pub fn cancel(&mut self, id: Id) {
         let record = self.records.get_mut(&id).expect("a job of the simulation");
