--- a/lib/src/batch/run_time.rs
+++ b/lib/src/batch/run_time.rs
@@ -36,6 +36,8 @@
 /// Weight of the estimate itself, in observations. It outweighs the few outliers among the first
 /// observations.
 const PRIOR_OBSERVATIONS: u32 = 4;
+/// Ratio in permille and weight of the estimate itself.
+const PRIOR: (u64, u64) = (UNIT_PERMILLE as u64, (PRIOR_OBSERVATIONS * OBSERVATION) as u64);
 /// Time after which an observation has half its weight: long enough for tens of jobs of an
 /// account, short enough to follow a change of its work within a burst.
 const HALF_LIFE: Duration = Duration::from_secs(300);
@@ -177,10 +179,13 @@
     /// Computes the points that decisions read: of the observed ratios, of the lower bounds of
     /// overdue runs, and of the estimate itself.
     fn expected(&self) -> Curve {
-        let prior = (u64::from(UNIT_PERMILLE), u64::from(PRIOR_OBSERVATIONS * OBSERVATION));
-        let overdue = self.overdue.values();
         let bound = |run: &Overdue| (u64::from(run.permille), u64::from(run.weight));
-        self.curve(overdue.map(bound).chain([prior]))
+        self.curve(self.overdue.values().map(bound).chain([PRIOR]))
+    }
+
+    /// Computes the points of the observed ratios and of the estimate itself.
+    fn known(&self) -> Curve {
+        self.curve([PRIOR])
     }
 
     /// Computes the points of the observed ratios and of others with their weights.
@@ -463,7 +468,9 @@
     let Some((step, task_states)) = observable(tables, run) else { return };
     let Some(job) = tables.jobs.get(&run.task.instance.job) else { return };
     let worked = progressed_ms(run) / (step.estimate_ms as f64 * slowest(tables, run, task_states));
-    let curve = curve_of(tables, job);
+    // Without the bounds of overdue runs, to which the run itself may have belonged.
+    let row = tables.run_times.account(&job.record.queue.name, &job.record.account);
+    let curve = row.map_or(Curve::default(), Account::known);
     if worked <= curve.ratio(USUAL) {
         return;
     }
