--- a/lib/src/batch/run_time.rs
+++ b/lib/src/batch/run_time.rs
@@ -55,6 +55,9 @@
 /// Highest share of work at the first listing of a run from which its whole run time is derived, in
 /// percent. Beyond it, the part that was observed is too short.
 const MAX_FIRST_PERCENT: u32 = 50;
+/// Longest time that the model returns, in milliseconds: multiples and sums of it fit into 64 bits,
+/// whatever estimate a caller gives.
+const MAX_MS: u64 = 1 << 48;
 /// Highest quantile by which a run that outlived all others is extrapolated.
 const MAX_QUANTILE: f64 = 0.95;
 
@@ -419,12 +422,12 @@
             worked * quantile / (1.0 - quantile)
         }
     };
-    (scale_ms * rest).round() as u64
+    ((scale_ms * rest).round() as u64).min(MAX_MS)
 }
 
-/// Multiplies a time by a ratio.
+/// Multiplies a time by a ratio; the result is at most `MAX_MS` unless the ratio is 1.
 pub(super) fn scale(ms: u64, ratio: f64) -> u64 {
-    if ratio == 1.0 { ms } else { (ms as f64 * ratio).round() as u64 }
+    if ratio == 1.0 { ms } else { ((ms as f64 * ratio).round() as u64).min(MAX_MS) }
 }
 
 /// Records the end of a run that was current and has just been removed.
