speed: learn how fast workers are, and place work by it

A two-way random-effects model over the pace of runs gives each worker a factor; steps whose objective a slow worker cannot meet go to fast ones, patient work takes the slow ones. Lists carry the time at which the agent received them, since a worker may take 400 ms to answer.

--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -136,6 +136,7 @@
         incarnation: poll.incarnation,
         fence: poll.fence,
         sent_at,
+        received_at: clock::boot().0,
         running: snapshot.running,
         ends: snapshot.ends,
     };
--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -29,6 +29,7 @@
 use lavendergauge_platform::Error;
 use lavendergauge_platform::store::Item;
 use lavendergauge_wire::codec;
+use metrics::counter;
 use metrics::histogram;
 use serde::de::DeserializeOwned;
 use tokio::sync::Notify;
@@ -312,6 +313,19 @@
             wait.reserved,
             wait.open
         ),
+        Event::Tier(instance, class, workers) => {
+            counter!("lavendergauge_speed_choices_total", "class" => class.name()).increment(1);
+            log::info!(
+                "event=speed-chosen job={} step={} class={} workers={workers}",
+                instance.job,
+                instance.step,
+                class.name()
+            );
+        }
+        Event::Speed(node, permille) => {
+            histogram!("lavendergauge_worker_factor").record(f64::from(*permille) / 1000.0);
+            log::info!("event=worker-speed worker={node} factor_permille={permille}");
+        }
         Event::Ended(id, outcome) => log::info!("event=job-ended job={id} outcome={outcome:?}"),
     }
 }
--- a/lib/benches/batch_scale.rs
+++ b/lib/benches/batch_scale.rs
@@ -190,6 +190,7 @@
                 incarnation: 1,
                 fence: FENCE,
                 sent_at: self.now,
+                received_at: 0,
                 running: runs,
                 ends: Vec::new(),
             }),
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -25,6 +25,7 @@
 pub mod records;
 pub mod refill;
 pub mod reservation;
+pub mod speed;
 pub mod succession;
 pub mod supervise;
 pub mod table;
--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -16,6 +16,7 @@
 use crate::batch::rank::Candidate;
 use crate::batch::refill;
 use crate::batch::reservation;
+use crate::batch::speed;
 use crate::batch::table::Phase;
 use crate::batch::table::Reservation;
 use crate::batch::table::Run;
@@ -191,19 +192,25 @@
     events: &mut Vec<Event>,
 ) -> Placed {
     let pool = pool(tables, now, availability, candidate, step);
-    let (groups, slows_elsewhere) = place::full_speed_groups(tables, &pool, step);
     let instance = candidate.instance;
-    let mut near = true;
-    let mut placements = place::pack_gang(tables, availability, instance, step, &groups);
-    if placements.is_none()
-        && slows_elsewhere
-        && may_run_slowed(tables, now, candidate, step, &groups)
-    {
-        near = false;
-        placements =
-            place::pack_gang(tables, availability, instance, step, std::slice::from_ref(&pool));
-    }
-    let Some(placements) = placements else { return Placed::None };
+    let tiers = speed::tiers(tables, now, candidate, step, pool);
+    let pack = |workers: &[key::Worker]| {
+        let (groups, _) = place::full_speed_groups(tables, workers, step);
+        place::pack_gang(tables, availability, instance, step, &groups)
+    };
+    let found = tiers.iter().find_map(|tier| Some((tier, pack(&tier.workers)?)));
+    let near = found.is_some();
+    let slowed = || {
+        let tier = tiers.last()?;
+        let (groups, slows_elsewhere) = place::full_speed_groups(tables, &tier.workers, step);
+        if !slows_elsewhere || !may_run_slowed(tables, now, candidate, step, &groups) {
+            return None;
+        }
+        let group = std::slice::from_ref(&tier.workers);
+        Some((tier, place::pack_gang(tables, availability, instance, step, group)?))
+    };
+    let Some((tier, placements)) = found.or_else(slowed) else { return Placed::None };
+    note_tier(&tiers, tier, instance, events);
     let Some(task_states) = task_states(tables, instance) else { return Placed::None };
     let number = task_states.iter().map(|task_state| task_state.run).max().unwrap_or(0) + 1;
     let mut index = 0;
@@ -211,7 +218,7 @@
         for _ in 0..count {
             let task = Task { instance, index };
             plan_run(tables, now, task, number, worker);
-            events.push(placed_event(tables, task, number, worker, pool.len(), near));
+            events.push(placed_event(tables, task, number, worker, tier.workers.len(), near));
             index += 1;
         }
     }
@@ -229,24 +236,37 @@
     events: &mut Vec<Event>,
 ) -> Placed {
     let pool = pool(tables, now, availability, candidate, step);
-    let (groups, slows_elsewhere) = place::full_speed_groups(tables, &pool, step);
-    let may_slow = !slows_elsewhere || may_run_slowed(tables, now, candidate, step, &groups);
     let instance = candidate.instance;
+    let tiers = speed::tiers(tables, now, candidate, step, pool);
     let mut waiting = candidate.waiting.iter().copied();
     let mut placed = 0;
-    let slowed = std::slice::from_ref(&pool);
-    for (groups, near) in [(groups.as_slice(), true), (slowed, false)] {
+    let last = tiers.last().map(|tier| (tier, false));
+    for (tier, near) in tiers.iter().map(|tier| (tier, true)).chain(last) {
         let remaining = most - placed as u32;
-        if remaining == 0 || (!near && (!slows_elsewhere || !may_slow)) {
+        if remaining == 0 {
             break;
         }
-        let placements = place::fill(tables, availability, instance, step, groups, remaining);
+        let (mut groups, slows_elsewhere) = place::full_speed_groups(tables, &tier.workers, step);
+        if !near {
+            if !slows_elsewhere || !may_run_slowed(tables, now, candidate, step, &groups) {
+                break;
+            }
+            groups = vec![tier.workers.clone()];
+        }
+        let placements = if tier.is_spread {
+            place::spread(tables, availability, instance, step, &groups, remaining.div_ceil(2))
+        } else {
+            place::fill(tables, availability, instance, step, &groups, remaining)
+        };
+        if !placements.is_empty() {
+            note_tier(&tiers, tier, instance, events);
+        }
         for (worker, count) in placements {
             for index in waiting.by_ref().take(count as usize) {
                 let task = Task { instance, index };
                 let number = tables.task_state(task).map_or(1, |task_state| task_state.run + 1);
                 plan_run(tables, now, task, number, worker);
-                events.push(placed_event(tables, task, number, worker, pool.len(), near));
+                events.push(placed_event(tables, task, number, worker, tier.workers.len(), near));
                 placed += 1;
             }
         }
@@ -258,6 +278,18 @@
     }
 }
 
+/// Logs which tier a step is placed on, if there was a choice.
+fn note_tier(
+    tiers: &[speed::Tier],
+    tier: &speed::Tier,
+    instance: StepInstance,
+    events: &mut Vec<Event>,
+) {
+    if 1 < tiers.len() {
+        events.push(Event::Tier(instance, tier.class, tier.workers.len()));
+    }
+}
+
 fn task_states(tables: &Tables, instance: StepInstance) -> Option<&Vec<TaskState>> {
     tables
         .jobs
--- a/lib/src/batch/event.rs
+++ b/lib/src/batch/event.rs
@@ -7,6 +7,7 @@
 use crate::batch::job::Task;
 use crate::batch::observe::Change;
 use crate::batch::progress::Outcome;
+use crate::batch::speed;
 use crate::batch::wait::Wait;
 
 /// A decision of a tick or a change that it observed, for the log.
@@ -42,6 +43,10 @@
     Reserved(StepInstance, usize),
     /// A step finds no place; the numbers of workers by cause.
     Waiting(StepInstance, Wait),
+    /// A step is placed on workers of a class of speed; their number.
+    Tier(StepInstance, speed::Class, usize),
+    /// A worker's factor is known to have changed, in thousandths of the usual time.
+    Speed(String, u32),
     /// A job has ended.
     Ended(Id, Outcome),
 }
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use crate::batch::job::Task;
+use crate::batch::speed;
 use crate::batch::table;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
@@ -102,6 +103,10 @@
     /// Agent's clock when the request was sent, in milliseconds.
     #[serde(rename = "asked")]
     pub sent_at: u64,
+    /// Agent's clock when the list was received, in milliseconds; 0 from an agent that does not tell.
+    /// The worker may take some hundred milliseconds to answer, so progress is measured by this time.
+    #[serde(default)]
+    pub received_at: u64,
     /// Runs that exist.
     pub running: Vec<ListedRun>,
     /// Ends of runs that the worker still has to list.
@@ -201,6 +206,10 @@
     worker.grant_until = list.sent_at + table::GRANT.as_millis() as u64;
     apply_ends(tables, now, key, list, &mut changes);
     apply_running(tables, now, key, list, &mut changes);
+    if list.received_at != 0 {
+        let age = report.clock.saturating_sub(list.received_at);
+        speed::observe_progress(tables, key, Millis(now.0.saturating_sub(age)));
+    }
     end_missing_runs(tables, key, list, &mut changes);
     changes
 }
@@ -251,6 +260,7 @@
         worker.paused_until = Millis(0);
         worker.refusals = 0;
         worker.last_answer = None;
+        speed::forget(&mut tables.paces, key, &mut worker.speed);
         changes.push(Change::Joined(announcement.id.clone()));
     } else if worker.ready && !announcement.ready {
         changes.push(Change::Leaving(announcement.id.clone()));
@@ -391,6 +401,9 @@
     let current = live.filter(|live| {
         tables.runs.get(*live).is_some_and(|run| run.number == end.run && run.worker == key)
     });
+    if let Some(current) = current.filter(|_| end.ending == Ending::Done) {
+        speed::observe_end(tables, current, now);
+    }
     let worked = current
         .and_then(|current| tables.remove_run(current))
         .map_or(Duration::MAX, |run| now.since(run.since));
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -212,6 +212,24 @@
     placements
 }
 
+/// Finds workers of the groups for at most `count` tasks that run on their own, one task each; workers
+/// that run something already come first.
+pub fn spread(
+    tables: &Tables,
+    availability: &Availability,
+    instance: StepInstance,
+    step: &Step,
+    groups: &[Vec<key::Worker>],
+    count: u32,
+) -> Placements {
+    let mut rest: Vec<(u32, Resources, key::Worker)> = groups
+        .iter()
+        .flat_map(|group| spaces(tables, availability, instance, step, group, 1))
+        .collect();
+    rest.sort_unstable_by_key(|(_, free, key)| (free.accelerators, free.processors, *key));
+    rest.into_iter().take(count as usize).map(|(_, _, key)| (key, 1)).collect()
+}
+
 /// Returns the workers of a pool that hold tasks of a step: the number of tasks, at most `most`, and
 /// the free resources.
 fn spaces(
--- a/lib/src/batch/reservation.rs
+++ b/lib/src/batch/reservation.rs
@@ -15,6 +15,7 @@
 use crate::batch::preempt;
 use crate::batch::rank;
 use crate::batch::rank::Candidate;
+use crate::batch::speed;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
 use crate::batch::table::Reservation;
@@ -53,6 +54,7 @@
 ) {
     let count = if step.gang { step.tasks } else { candidate.waiting.len() as u32 };
     let all = assign::pool(tables, now, availability, candidate, step);
+    let all = speed::targets(tables, now, candidate, step, all);
     let (groups, _) = place::full_speed_groups(tables, &all, step);
     if candidate.priority == 0
         && try_preempt(tables, now, availability, covered, candidate, step, &groups, &all, events)
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -28,6 +28,7 @@
 use crate::batch::policy::Policy;
 use crate::batch::progress::Outcome;
 use crate::batch::rank;
+use crate::batch::speed;
 use crate::clock::Millis;
 use crate::key;
 use crate::resource::Resources;
@@ -155,6 +156,8 @@
     pub measure: u32,
     /// Share of full speed that was ordered last, in percent.
     pub pace_percent: u32,
+    /// Progress at the last sample of its speed.
+    pub pace_mark: Option<speed::Mark>,
 }
 
 impl Run {
@@ -190,6 +193,7 @@
             is_stop_acknowledged: false,
             measure: 0,
             pace_percent: FULL_PACE,
+            pace_mark: None,
         }
     }
 }
@@ -349,6 +353,8 @@
     pub unrecorded: BTreeMap<Id, u64>,
     /// Failure history.
     pub health: health::Health,
+    /// What is known about its speed.
+    pub speed: speed::Record,
     /// Gets no new work before this time.
     pub paused_until: Millis,
     /// Number of starts that were refused since one was carried out.
@@ -409,6 +415,8 @@
     pub examined: BTreeMap<StepInstance, Millis>,
     /// When it was last logged why a step finds no place.
     pub explained: BTreeMap<StepInstance, Millis>,
+    /// Samples of the speed of workers, by step.
+    pub paces: speed::Steps,
     /// Recent arrivals of the most urgent jobs.
     pub urgent_arrivals: headroom::Arrivals,
     /// Jobs whose record has to be written.
@@ -454,6 +462,7 @@
             refills: BTreeMap::new(),
             examined: BTreeMap::new(),
             explained: BTreeMap::new(),
+            paces: speed::Steps::default(),
             urgent_arrivals: headroom::Arrivals::default(),
             dirty: BTreeSet::new(),
             unsettled: BTreeSet::new(),
@@ -670,6 +679,7 @@
             acknowledged: 0,
             unrecorded: BTreeMap::new(),
             health: health::Health::default(),
+            speed: speed::Record::default(),
             paused_until: Millis(0),
             refusals: 0,
             pace: None,
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -9,6 +9,7 @@
 use crate::batch::progress::Outcome;
 use crate::batch::rank;
 use crate::batch::records;
+use crate::batch::speed;
 use crate::batch::supervise;
 use crate::batch::table::Cause;
 use crate::batch::table::Job;
@@ -33,6 +34,7 @@
     supervise::stop_on_leaving_workers(tables, now, &mut events);
     pace::adjust(tables, now, &changed_workers);
     settle(tables, wall_ms, &mut events);
+    speed::note_changes(tables, &changed_workers, &mut events);
     assign::place_all(tables, now, &mut events);
     events
 }
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -36,8 +36,10 @@
 use lavendergauge_lib::batch::order::Answer;
 use lavendergauge_lib::batch::order::Order;
 use lavendergauge_lib::batch::order::Verb;
+use lavendergauge_lib::batch::policy::Policy;
 use lavendergauge_lib::batch::progress::Progress;
 use lavendergauge_lib::batch::records;
+use lavendergauge_lib::batch::table;
 use lavendergauge_lib::batch::table::Tables;
 use lavendergauge_lib::batch::tick;
 use lavendergauge_lib::clock::Millis;
@@ -83,6 +85,8 @@
     pub ready: bool,
     /// Whether its runs make no progress.
     pub is_stuck: bool,
+    /// Time that it takes for the same work, in thousandths of the usual time.
+    pub slow_permille: u64,
     /// Whether every run that it starts fails at once.
     pub fails: bool,
     /// Whether answers to orders are lost.
@@ -144,6 +148,8 @@
     pub store_down: bool,
     /// Orders to run at a share of the full speed, in percent.
     pub paced: Vec<(Task, u32)>,
+    /// Optional decisions of the planner; they apply from the next tick.
+    pub policy: Policy,
     next_id: u64,
 }
 
@@ -195,6 +201,7 @@
                 reachable: true,
                 ready: true,
                 is_stuck: false,
+                slow_permille: 1000,
                 fails: false,
                 loses_answers: false,
                 refuses: false,
@@ -216,6 +223,7 @@
             wasted_ms: 0,
             store_down: false,
             paced: Vec::new(),
+            policy: Policy::default(),
             next_id: 1,
         };
         sim.run_for(200);
@@ -417,6 +425,7 @@
                 incarnation,
                 fence: worker.fence,
                 sent_at: self.now,
+                received_at: self.now,
                 running: worker.runs.iter().map(row).collect(),
                 ends: worker.ends.clone(),
             }),
@@ -437,6 +446,7 @@
 
     fn tick(&mut self) {
         self.tables.set_config(self.config.clone());
+        self.tables.policy = self.policy;
         let (now, wall) = (Millis(self.now), self.wall());
         tick::run(&mut self.tables, now, wall);
         if !self.store_down {
@@ -494,6 +504,7 @@
 
     fn start(&mut self, index: usize, order: &Order) -> Answer {
         let work_ms = self.submitted[&order.task.instance.job].work_ms;
+        let duration_ms = work_ms * self.slowest_permille(index, order.task) / 1000;
         let (now, fence) = (self.now, self.fence);
         let worker = &mut self.workers[index];
         if worker.refuses {
@@ -505,7 +516,7 @@
         if fence < worker.fence {
             return Answer::Refused("fence".into());
         }
-        let run = Run { run: order.run, began_at: now, duration_ms: work_ms, stops_at: None };
+        let run = Run { run: order.run, began_at: now, duration_ms, stops_at: None };
         worker.runs.insert(order.task, run);
         let row = self.tables.nodes.get(&worker.node).map(|key| &self.tables.workers[*key]);
         worker.lease_until = worker.lease_until.max(row.map_or(0, |row| row.grant_until));
@@ -517,6 +528,19 @@
         Answer::Done(now)
     }
 
+    /// Returns the time that a task takes on a worker, in thousandths of the usual time; the members of
+    /// a gang advance together.
+    fn slowest_permille(&self, index: usize, task: Task) -> u64 {
+        let is_gang = self.tables.step(task.instance).is_some_and(|step| step.gang);
+        let of_run = |run: &table::Run| {
+            let node = &self.tables.workers[run.worker].node;
+            self.workers.iter().find(|w| w.node == *node).map_or(0, |w| w.slow_permille)
+        };
+        let is_member = |run: &&table::Run| is_gang && run.task.instance == task.instance;
+        let slowest = self.tables.runs.values().filter(is_member).map(of_run).max().unwrap_or(0);
+        slowest.max(self.workers[index].slow_permille)
+    }
+
     /// Tells whether the success of a task was lost with its worker's memory.
     fn is_end_lost(&self, task: Task) -> bool {
         !self.workers.iter().any(|worker| {
