speed: each worker's own factor decides whether it suffices for a step

Urgent gangs still went to slow workers: one worker that had only just been classed as slow lowered the factor by which all of them were judged, and a short estimate left room in the objective that the true run time does not. Now the slowest one decides whether a step has time for slow workers, and those that suffice one by one count among the others.

--- a/lib/src/batch/speed.rs
+++ b/lib/src/batch/speed.rs
@@ -412,7 +412,7 @@
     Any,
     /// Workers that are known to be fast.
     Fast,
-    /// Workers that are not known to be slow.
+    /// Workers that are not known to be too slow for the step.
     NotSlow,
     /// Workers of unknown speed.
     Unknown,
@@ -483,7 +483,9 @@
     if slow.is_empty() {
         return smallvec![any(pool)];
     }
-    let not_slow = [fast.as_slice(), &unknown].concat();
+    let is_adequate = |key: &key::Worker| time.suffices_at(tables.workers[*key].speed.log_factor);
+    let adequate: Vec<key::Worker> = slow.into_iter().filter(is_adequate).collect();
+    let not_slow = [fast.as_slice(), &unknown, &adequate].concat();
     let reclaim_wait = Duration::from_millis(tables.bounds.reclaim_ms / RECLAIM_WAIT_DIVISOR);
     let waits = time.suffices_at(fast_log_factor)
         && !(candidate.guaranteed && reclaim_wait <= now.since(candidate.since))
@@ -544,7 +546,7 @@
     slow: Vec<key::Worker>,
     /// Typical factor of the fast workers, as a logarithm.
     fast_log_factor: f64,
-    /// Lowest factor of the slow workers, as a logarithm; that of unknown ones if none is slow.
+    /// Highest factor of the slow workers, as a logarithm; that of unknown ones if none is slow.
     slow_log_factor: f64,
 }
 
@@ -574,7 +576,7 @@
         unknown: Vec::new(),
         slow: Vec::new(),
         fast_log_factor,
-        slow_log_factor: f64::INFINITY,
+        slow_log_factor: fast_log_factor + UNKNOWN_LOG_FACTOR,
     };
     for key in pool.iter().copied() {
         let record = record(key);
@@ -582,14 +584,11 @@
             split.unknown.push(key);
         } else if is_slow(record) {
             split.slow.push(key);
-            split.slow_log_factor = split.slow_log_factor.min(record.log_factor);
+            split.slow_log_factor = split.slow_log_factor.max(record.log_factor);
         } else {
             split.fast.push(key);
         }
     }
-    if split.slow.is_empty() {
-        split.slow_log_factor = fast_log_factor + UNKNOWN_LOG_FACTOR;
-    }
     split
 }
 
