learned: carry the avoidance of workers over to the next leader

A new leader's tables start empty, so it placed work again on workers that the previous leader had found to fail. With the setting learned_state, the leader now writes what it knows to lavendergauge/learned, and the next one reads it concurrently with the records. The entries match by incarnation; a worker that has not reported keeps its entry pending.

--- a/daemon/src/batch.rs
+++ b/daemon/src/batch.rs
@@ -14,6 +14,7 @@
 pub mod ingress;
 pub mod keys;
 pub mod leader;
+pub mod learned;
 pub mod maintenance;
 pub mod message;
 pub mod peer;
--- a/daemon/src/batch/keys.rs
+++ b/daemon/src/batch/keys.rs
@@ -6,6 +6,8 @@
 pub const LEADER: &str = "lavendergauge/lead";
 /// Key that each write of a planner replaces, so that a write that the store executes late fails.
 pub const CHAIN: &str = "lavendergauge/chain";
+/// Key of what the leader has learned, for the next leader.
+pub const LEARNED: &str = "lavendergauge/learned";
 /// Prefix of the jobs' records, which entries write.
 pub const JOBS: &str = "lavendergauge/job/";
 /// Prefix of the jobs' progress records, which the planner writes.
--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -40,6 +40,7 @@
 use crate::batch::follow;
 use crate::batch::keys;
 use crate::batch::leader::Term;
+use crate::batch::learned;
 use crate::batch::maintenance;
 use crate::batch::message;
 use crate::batch::message::Answers;
@@ -166,6 +167,10 @@
         name: entry.name.clone(),
         tables: Mutex::new(tables),
     });
+    let mut tasks = JoinSet::new();
+    if entry.settings.policy.learned_state {
+        tasks.spawn(learned::run(entry.clone(), planner.clone(), term.clone()));
+    }
     let revision = load_all(entry, &planner).await;
     entry.set_planner(Some(planner.clone()));
     {
@@ -177,7 +182,6 @@
             tables.runs.len()
         );
     }
-    let mut tasks = JoinSet::new();
     tasks.spawn(follow::jobs(entry.clone(), planner.clone(), revision));
     tasks.spawn(follow::agents(entry.clone(), planner.clone(), term.clone()));
     tasks.spawn(maintenance::run(entry.clone(), planner.clone(), term.clone()));
@@ -321,6 +325,9 @@
     match change {
         Change::Joined(id) => log::info!("event=worker-known worker={id}"),
         Change::Leaving(id) => log::info!("event=worker-leaving worker={id}"),
+        Change::Recalled { worker, avoided_ms } => {
+            log::info!("event=worker-recalled worker={worker} avoided_ms={avoided_ms}");
+        }
         Change::Began(task, run) => log::info!("event=began task={task} run={run}"),
         Change::Ended(task, run, outcome) => {
             log::info!("event=ended task={task} run={run} outcome={}", Value(outcome));
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -14,6 +14,7 @@
 pub mod headroom;
 pub mod health;
 pub mod job;
+pub mod learned;
 pub mod observe;
 pub mod order;
 pub mod pace;
--- a/lib/src/batch/health.rs
+++ b/lib/src/batch/health.rs
@@ -14,6 +14,8 @@
 const EARLY_FAILURE: Duration = Duration::from_millis(400);
 /// First period for which a worker is avoided; it doubles with each further failure.
 const FIRST_PAUSE: Duration = Duration::from_secs(3);
+/// Number of times that the period doubles, after which it is at its longest.
+const MAX_DOUBLINGS: u32 = 3;
 /// Longest period for which a worker is avoided.
 const LAST_PAUSE: Duration = Duration::from_secs(24);
 
@@ -27,6 +29,8 @@
     pub last_failed_job: Option<Id>,
     /// Until when new work avoids the worker.
     pub avoided_until: Millis,
+    /// Whether a run has succeeded on the worker in this term.
+    pub has_succeeded: bool,
 }
 
 impl Health {
@@ -40,7 +44,7 @@
     /// assert!(!health.is_avoided(Millis(0)));
     /// ```
     pub fn record_success(&mut self) {
-        *self = Health::default();
+        *self = Health { has_succeeded: true, ..Health::default() };
     }
 
     /// Records that a run of a job failed or made no progress after it had worked for `worked`.
@@ -68,10 +72,27 @@
         if self.failures < AVOID_AFTER {
             return;
         }
-        let pause = FIRST_PAUSE * (1 << (self.failures - AVOID_AFTER).min(3));
+        let pause = FIRST_PAUSE * (1 << (self.failures - AVOID_AFTER).min(MAX_DOUBLINGS));
         self.avoided_until = now + pause.min(LAST_PAUSE);
     }
 
+    /// Adds what an earlier leader knew: its number of failures, and the time for which it would
+    /// still avoid the worker. Both are limited to what a leader can learn.
+    ///
+    /// ```
+    /// use lavendergauge_lib::batch::health::Health;
+    /// use lavendergauge_lib::clock::Millis;
+    /// use std::time::Duration;
+    /// let mut health = Health::default();
+    /// health.restore(Millis(10), 2, Duration::from_secs(3));
+    /// assert!(health.is_avoided(Millis(3009)));
+    /// assert!(!health.is_avoided(Millis(3010)));
+    /// ```
+    pub fn restore(&mut self, now: Millis, failures: u32, avoided: Duration) {
+        self.failures = self.failures.max(failures.min(AVOID_AFTER + MAX_DOUBLINGS));
+        self.avoided_until = self.avoided_until.max(now + avoided.min(LAST_PAUSE));
+    }
+
     /// Tells whether new work should avoid the worker.
     ///
     /// ```
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use crate::batch::job::Task;
+use crate::batch::learned;
 use crate::batch::table;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
@@ -144,6 +145,13 @@
     Joined(String),
     /// A worker takes no more new work.
     Leaving(String),
+    /// A worker is avoided because of what an earlier leader has learned.
+    Recalled {
+        /// The worker's identifier.
+        worker: String,
+        /// Time for which it is avoided, in milliseconds.
+        avoided_ms: u64,
+    },
     /// A worker listed a run for the first time.
     Began(Task, u32),
     /// A worker listed the end of a run.
@@ -279,6 +287,9 @@
         end_runs_where(tables, key, changes, "worker restarted", ended);
         carry_over(tables, key, incarnation);
     }
+    if !tables.learned.is_empty() {
+        learned::settle(tables, now, key, changes);
+    }
 }
 
 /// Moves runs that no worker has listed yet to the next incarnation of their worker.
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -24,6 +24,7 @@
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
+use crate::batch::learned;
 use crate::batch::pace;
 use crate::batch::policy::Policy;
 use crate::batch::progress::Outcome;
@@ -411,6 +412,8 @@
     pub explained: BTreeMap<StepInstance, Millis>,
     /// Recent arrivals of the most urgent jobs.
     pub urgent_arrivals: headroom::Arrivals,
+    /// What an earlier leader knew about workers that have not reported yet, by agent.
+    pub learned: BTreeMap<String, learned::Pending>,
     /// Jobs whose record has to be written.
     pub dirty: BTreeSet<Id>,
     /// Jobs that changed since the last tick: their outcome and waiting tasks are to be determined.
@@ -455,6 +458,7 @@
             examined: BTreeMap::new(),
             explained: BTreeMap::new(),
             urgent_arrivals: headroom::Arrivals::default(),
+            learned: BTreeMap::new(),
             dirty: BTreeSet::new(),
             unsettled: BTreeSet::new(),
             active: BTreeSet::new(),
