explain: where a batch job would be placed now, or why one waits

Operators could see only from the log's step-waits lines, after 3 s, why a job waits, and not at all where a planned job would go. The command asks any entry; the leader answers from a copy of its tables on which its own systems run, so that the answer is the next decision.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -15,6 +15,7 @@
 use crate::report::Report;
 
 pub mod account;
+pub mod batch;
 pub mod completions;
 pub mod config;
 pub mod data_centre;
@@ -98,6 +99,7 @@
         .subcommand(target::command())
         .subcommand(config::command())
         .subcommand(explain::command())
+        .subcommand(batch::command())
         .subcommand(trace::command())
         .subcommand(questionnaire::command())
         .subcommand(completions::command())
@@ -117,7 +119,9 @@
 /// assert_eq!(commands::format(&matches), Format::Json);
 /// ```
 pub fn format(matches: &ArgMatches) -> Format {
-    if context::text(matches, "format") == "json" { Format::Json } else { Format::Text }
+    let is_json = context::text(matches, "format") == "json"
+        || matches.subcommand_matches("batch").is_some_and(batch::wants_json);
+    if is_json { Format::Json } else { Format::Text }
 }
 
 /// Runs one command and returns its output. While the command waits for something, `progress` is
@@ -148,6 +152,7 @@
         Some(("target", matches)) => target::run(&context, matches).await,
         Some(("config", matches)) => config::run(&context, matches).await,
         Some(("explain", matches)) => explain::run(&context, matches).await,
+        Some(("batch", matches)) => batch::run(&context, matches).await,
         Some(("trace", matches)) => trace::run(matches),
         Some(("questionnaire", matches)) => questionnaire::run(matches),
         Some(("completions", matches)) => Ok(completions::run(matches)),
--- /dev/null
+++ b/cli/src/commands/batch.rs
@@ -0,0 +1,169 @@
+//! `lavendergauge batch`: explains decisions about batch jobs.
+
+use std::fmt::Write;
+use std::fs;
+use std::time::Duration;
+
+use clap::ArgGroup;
+use clap::ArgMatches;
+use clap::Command;
+use lavendergauge_lib::batch::explain;
+use lavendergauge_lib::batch::explain::Explanation;
+use lavendergauge_lib::batch::explain::Question;
+use lavendergauge_lib::batch::explain::Refusal;
+use lavendergauge_lib::batch::explain::Reply;
+use lavendergauge_lib::batch::explain::StepExplanation;
+use lavendergauge_lib::batch::explain::Subject;
+use lavendergauge_lib::batch::job::Id;
+use lavendergauge_net::client::Client;
+
+use crate::commands::flag;
+use crate::commands::option;
+use crate::context::Context;
+use crate::context::text;
+use crate::error;
+use crate::error::Error;
+use crate::report::Report;
+
+/// Deadline of the question: that of an entry which passes it on to the leader, and a margin.
+const DEADLINE: Duration = Duration::from_secs(4);
+
+/// Returns the command with its arguments.
+pub fn command() -> Command {
+    Command::new("batch").about("Batch jobs").subcommand_required(true).subcommand(
+        Command::new("explain")
+            .about("Explain where a job would be placed now, or why a job waits")
+            .arg(option("queue", "Name of the queue").required(true))
+            .arg(option("account", "Name of the client account; empty for none").required(true))
+            .arg(option("job", "File with a job as callers submit it; it is not submitted"))
+            .arg(option("id", "Identifier of a submitted job"))
+            .arg(flag("json", "The same as --format json"))
+            .arg(
+                option("fleet-key", "Key of the fleet; preferably set in the environment")
+                    .env("LAVENDERGAUGE_FLEET_KEY")
+                    .hide_env_values(true)
+                    .default_value(""),
+            )
+            .group(ArgGroup::new("subject").args(["job", "id"]).required(true)),
+    )
+}
+
+/// Tells whether the arguments of the command ask for JSON.
+pub fn wants_json(matches: &ArgMatches) -> bool {
+    matches.subcommand_matches("explain").is_some_and(|explain| explain.get_flag("json"))
+}
+
+/// Asks the entry at the peer address that `--entry` names.
+///
+/// # Errors
+/// When a file is invalid, or the entry cannot be reached or refuses the question.
+pub async fn run(context: &Context, matches: &ArgMatches) -> Result<Report, Error> {
+    let Some(matches) = matches.subcommand_matches("explain") else {
+        return Ok(Report::new("", &()));
+    };
+    let (file, id) = (text(matches, "job"), text(matches, "id"));
+    let subject = if file.is_empty() {
+        let hint = "pass 16 lower-case hexadecimal digits";
+        let id = Id::parse(id).ok_or_else(|| Error::refused(format!("{id}: no job"), hint))?;
+        Subject::Submitted(id)
+    } else {
+        let hint = "pass a file with a job in JSON";
+        Subject::File(
+            fs::read_to_string(file)
+                .map_err(|error| Error::refused(format!("{file}: {error}"), hint))?,
+        )
+    };
+    let question = Question {
+        queue: text(matches, "queue").to_owned(),
+        account: text(matches, "account").to_owned(),
+        subject,
+        is_passed_on: false,
+    };
+    let client = Client::for_fleet(text(matches, "fleet-key"), None);
+    let address = context.api.address();
+    let reply = client.exchange::<Question, Reply>(address, explain::PATH, &question, DEADLINE);
+    match reply.await {
+        Ok(Reply::Explained(explanation)) => Ok(Report::new(render(&explanation), &explanation)),
+        Ok(Reply::Refused(refusal)) => {
+            let hint = match refusal {
+                Refusal::Busy => "ask again in a moment",
+                Refusal::NoLeader => "ask again in a moment, or another entry with --entry",
+                _ => "check --queue, --account and the job",
+            };
+            Err(Error::refused(refusal.text(), hint))
+        }
+        Err(cause) => {
+            let text = format!("no answer from the entry at {address}: {cause}");
+            let hint = "pass the peer address of an entry with --entry, and the fleet's key";
+            Err(Error::with_code(error::UNREACHABLE, text, hint))
+        }
+    }
+}
+
+/// Returns an explanation as lines for people.
+fn render(explanation: &Explanation) -> String {
+    let mut lines = String::new();
+    let admission = if explanation.refusal.is_empty() { "accepted" } else { "refused" };
+    let guarantee = if explanation.is_guaranteed { "covered" } else { "not covered" };
+    let _ = writeln!(lines, "{admission}, {:?} {}", explanation.state, explanation.refusal);
+    let _ = writeln!(
+        lines,
+        "priority {}, {guarantee} by the guarantee of {} accelerators; the account uses {}",
+        explanation.priority, explanation.guaranteed_accelerators, explanation.used_accelerators
+    );
+    if explanation.steps.is_empty() {
+        lines.push_str("no step waits to be placed\n");
+    }
+    for step in &explanation.steps {
+        render_step(&mut lines, step);
+    }
+    lines
+}
+
+fn render_step(lines: &mut String, step: &StepExplanation) {
+    let _ = writeln!(
+        lines,
+        "step {}.{}: {} tasks wait, {} steps are placed before it",
+        step.occurrence, step.step, step.waiting, step.ahead
+    );
+    let worth = if step.is_worthless { "; too late to be of any worth" } else { "" };
+    let _ = writeln!(lines, "  latest start in {} ms{worth}", step.latest_start_ms);
+    if step.needs_advice {
+        lines.push_str("  waits for the advice service\n");
+    }
+    let workers = &step.workers;
+    let _ = writeln!(
+        lines,
+        "  workers: {} open, {} full, {} reserved, {} avoided, {} paused, {} unfit, {} evacuated, \
+         {} away",
+        workers.open,
+        workers.full,
+        workers.reserved,
+        workers.avoided,
+        workers.paused,
+        workers.unfit,
+        workers.evacuated,
+        workers.away
+    );
+    for excluded in &step.excluded {
+        let _ = writeln!(lines, "    not {}: {:?}", excluded.worker, excluded.obstacle);
+    }
+    for placement in &step.placements {
+        let _ = writeln!(lines, "  {} tasks on {}", placement.tasks, placement.node);
+    }
+    if step.reserved != 0 {
+        let _ = writeln!(lines, "  capacity would be reserved on {} workers", step.reserved);
+    }
+    for victims in &step.stopped {
+        let _ = writeln!(
+            lines,
+            "  would stop {} runs of queue {} with {} accelerators and {} thousandths of a core",
+            victims.runs, victims.queue, victims.accelerators, victims.processors
+        );
+    }
+    let _ = match step.starts_in_ms {
+        Some(0) => writeln!(lines, "  has room now"),
+        Some(ms) => writeln!(lines, "  starts in about {ms} ms if nothing else comes first"),
+        None => writeln!(lines, "  the workers that answer cannot hold it"),
+    };
+}
--- a/daemon/src/batch.rs
+++ b/daemon/src/batch.rs
@@ -8,6 +8,7 @@
 pub mod agent_worker;
 pub mod config_view;
 pub mod entry;
+pub mod explain;
 pub mod follow;
 pub mod forward;
 pub mod in_doubt;
--- a/daemon/src/batch/entry.rs
+++ b/daemon/src/batch/entry.rs
@@ -9,6 +9,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use lavendergauge_lib::batch::explain::Question;
 use lavendergauge_net::body::Body;
 use lavendergauge_net::client::Client;
 use lavendergauge_net::server;
@@ -21,6 +22,7 @@
 use crate::access;
 use crate::batch::config_view;
 use crate::batch::config_view::View;
+use crate::batch::explain;
 use crate::batch::forward;
 use crate::batch::ingress;
 use crate::batch::leader;
@@ -228,6 +230,10 @@
             Ok(call) => peer::answer(&forward::on_forward(&entry, call).await),
             Err(refusal) => refusal,
         },
+        lavendergauge_lib::batch::explain::PATH => match peer::read::<Question>(request).await {
+            Ok(question) => peer::answer(&explain::on_question(&entry, question).await),
+            Err(refusal) => refusal,
+        },
         _ => peer::status(StatusCode::NOT_FOUND),
     }
 }
--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -24,6 +24,7 @@
 use lavendergauge_lib::batch::table::Tables;
 use lavendergauge_lib::batch::table::Worker;
 use lavendergauge_lib::batch::tick;
+use lavendergauge_lib::clock::Millis;
 use lavendergauge_net::client;
 use lavendergauge_net::client::Client;
 use lavendergauge_platform::Error;
@@ -82,6 +83,8 @@
     busy_agents: Mutex<BTreeSet<String>>,
     /// Client for calls to agents.
     pub client: Client,
+    /// When the newest explanation was begun; locked while one is made.
+    pub explained_at: tokio::sync::Mutex<Millis>,
     name: String,
     tables: Mutex<Tables>,
 }
@@ -164,6 +167,7 @@
         agents: Mutex::new(HashMap::new()),
         busy_agents: Mutex::new(BTreeSet::new()),
         client: entry.client.clone(),
+        explained_at: tokio::sync::Mutex::new(Millis::default()),
         name: entry.name.clone(),
         tables: Mutex::new(tables),
     });
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod dispatch;
 pub mod event;
+pub mod explain;
 pub mod headroom;
 pub mod health;
 pub mod job;
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -26,15 +26,20 @@
 /// time has come.
 pub fn run(tables: &mut Tables, now: Millis, wall_ms: u64) -> Vec<Event> {
     let mut events = Vec::new();
+    prepare(tables, now, wall_ms, &mut events);
+    assign::place_all(tables, now, &mut events);
+    events
+}
+
+/// Runs every system that precedes placement, which determine the tasks that wait.
+pub(super) fn prepare(tables: &mut Tables, now: Millis, wall_ms: u64, events: &mut Vec<Event>) {
     begin_due(tables, now, wall_ms);
-    supervise::end_expired(tables, now, &mut events);
+    supervise::end_expired(tables, now, events);
     let changed_workers = std::mem::take(&mut tables.changed_workers);
-    supervise::stop_stuck(tables, now, &changed_workers, &mut events);
-    supervise::stop_on_leaving_workers(tables, now, &mut events);
+    supervise::stop_stuck(tables, now, &changed_workers, events);
+    supervise::stop_on_leaving_workers(tables, now, events);
     pace::adjust(tables, now, &changed_workers);
-    settle(tables, wall_ms, &mut events);
-    assign::place_all(tables, now, &mut events);
-    events
+    settle(tables, wall_ms, events);
 }
 
 /// Begins occurrences that are due.
--- a/lib/src/batch/wait.rs
+++ b/lib/src/batch/wait.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
+use lavendergauge_derive::token;
 use lavendergauge_derive::value;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::batch::job::Step;
 use crate::batch::place;
@@ -10,14 +13,38 @@
 use crate::batch::rank::Candidate;
 use crate::batch::table::Tables;
 use crate::clock::Millis;
+use crate::key;
 
 /// Time for which a step waits before the first explanation, and between two of them.
 const INTERVAL: Duration = Duration::from_secs(3);
 
+/// What keeps a step from a worker, as counted in [`Wait`].
+#[token]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Obstacle {
+    /// It takes no new work, or its agent or it itself does not answer.
+    Away,
+    /// It is paused after refusals.
+    Paused,
+    /// It is in a data centre that operators have taken out.
+    Evacuated,
+    /// It could not hold one task if it were empty, or lacks the label.
+    Unfit,
+    /// It is avoided after failures.
+    Avoided,
+    /// It has no room for one task.
+    Full,
+    /// It has room for one task, but that is reserved for other steps.
+    Reserved,
+    /// Nothing.
+    None,
+}
+
 /// Numbers of workers of a step's service, by what keeps the step from them. Each worker counts once,
 /// under the first cause that holds.
 #[value]
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Wait {
     /// Take no new work, or their agent or they themselves do not answer.
     pub away: usize,
@@ -37,6 +64,23 @@
     pub open: usize,
 }
 
+impl Wait {
+    /// Counts a worker.
+    pub(super) fn add(&mut self, obstacle: Obstacle) {
+        let count = match obstacle {
+            Obstacle::Away => &mut self.away,
+            Obstacle::Paused => &mut self.paused,
+            Obstacle::Evacuated => &mut self.evacuated,
+            Obstacle::Unfit => &mut self.unfit,
+            Obstacle::Avoided => &mut self.avoided,
+            Obstacle::Full => &mut self.full,
+            Obstacle::Reserved => &mut self.reserved,
+            Obstacle::None => &mut self.open,
+        };
+        *count += 1;
+    }
+}
+
 /// Counts the causes for a step, unless that was done a short while ago.
 pub fn explain(
     tables: &mut Tables,
@@ -53,28 +97,38 @@
     let job = tables.jobs.get(&candidate.instance.job)?;
     let mut wait = Wait::default();
     for (key, worker) in &tables.workers {
-        if worker.service != job.queue.service {
-            continue;
+        if worker.service == job.queue.service {
+            wait.add(obstacle(tables, now, availability, key, step));
         }
-        let demand = step.resources();
-        let count = if !place::takes_work(worker, now) {
-            &mut wait.away
-        } else if now < worker.paused_until {
-            &mut wait.paused
-        } else if tables.evacuated.contains(&worker.data_centre) {
-            &mut wait.evacuated
-        } else if !place::suits(worker, step) {
-            &mut wait.unfit
-        } else if worker.health.is_avoided(now) {
-            &mut wait.avoided
-        } else if !demand.fits(worker.free()) {
-            &mut wait.full
-        } else if !demand.fits(availability.unreserved(tables, key)) {
-            &mut wait.reserved
-        } else {
-            &mut wait.open
-        };
-        *count += 1;
     }
     Some(wait)
 }
+
+/// Returns what keeps a step from a worker of its service.
+pub(super) fn obstacle(
+    tables: &Tables,
+    now: Millis,
+    availability: &Availability,
+    key: key::Worker,
+    step: &Step,
+) -> Obstacle {
+    let worker = &tables.workers[key];
+    let demand = step.resources();
+    if !place::takes_work(worker, now) {
+        Obstacle::Away
+    } else if now < worker.paused_until {
+        Obstacle::Paused
+    } else if tables.evacuated.contains(&worker.data_centre) {
+        Obstacle::Evacuated
+    } else if !place::suits(worker, step) {
+        Obstacle::Unfit
+    } else if worker.health.is_avoided(now) {
+        Obstacle::Avoided
+    } else if !demand.fits(worker.free()) {
+        Obstacle::Full
+    } else if !demand.fits(availability.unreserved(tables, key)) {
+        Obstacle::Reserved
+    } else {
+        Obstacle::None
+    }
+}
