--- a/daemon/src/batch/entry.rs
+++ b/daemon/src/batch/entry.rs
@@ -230,7 +230,7 @@
             Ok(call) => peer::answer(&forward::on_forward(&entry, call).await),
             Err(refusal) => refusal,
         },
-        lavendergauge_lib::batch::explain::PATH => match peer::read::<Question>(request).await {
+        message::EXPLAIN => match peer::read::<Question>(request).await {
             Ok(question) => peer::answer(&explain::on_question(&entry, question).await),
             Err(refusal) => refusal,
         },
--- a/daemon/src/batch/explain.rs
+++ b/daemon/src/batch/explain.rs
@@ -15,6 +15,7 @@
 use tokio::task;
 
 use crate::batch::entry::Entry;
+use crate::batch::message;
 use crate::batch::planner::Planner;
 use crate::clock;
 use crate::logs::Value;
@@ -43,7 +44,7 @@
     let question = Question { is_passed_on: true, ..question };
     let reply = entry
         .client
-        .exchange::<Question, Reply>(&leader.address, explain::PATH, &question, DEADLINE)
+        .exchange::<Question, Reply>(&leader.address, message::EXPLAIN, &question, DEADLINE)
         .await;
     reply.unwrap_or_else(|error| {
         let cause = error.to_string();
--- a/daemon/src/batch/message.rs
+++ b/daemon/src/batch/message.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use lavendergauge_derive::value;
+use lavendergauge_lib::batch::explain;
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::Record;
 use lavendergauge_lib::batch::job::State;
@@ -28,6 +29,8 @@
 pub const LEADERSHIP_OFFER: &str = "/batch/succeed";
 /// Path at an entry: [`Forward`], answered by [`Forwarded`].
 pub const FORWARD: &str = "/batch/forward";
+/// Path at an entry: [`explain::Question`], answered by [`explain::Reply`].
+pub const EXPLAIN: &str = explain::PATH;
 
 /// The planner that sends a message, and its grant: the time until which tasks may run.
 #[value]
