--- a/lib/src/batch/speed.rs
+++ b/lib/src/batch/speed.rs
@@ -204,12 +204,14 @@
         .then(|| (milli(record.log_factor) as i32, milli(record.variance.sqrt()) as u32))
 }
 
-/// Starts a record from what an earlier leader has learned.
+/// Adds what an earlier leader has learned to a record.
 pub fn restore(record: &mut Record, now: Millis, log_factor_milli: i32, deviation_milli: u32) {
     let mean = f64::from(log_factor_milli) / 1000.0;
     let variance = (f64::from(deviation_milli) / 1000.0).powi(2).clamp(0.001, WORKER_VARIANCE);
-    *record = Record { log_factor: mean, variance, logged: mean, ..Record::default() };
     record.prior = Some((mean, variance, now));
+    if record.samples.is_empty() {
+        (record.log_factor, record.variance) = (mean, variance);
+    }
 }
 
 /// Discards what is known about a worker, whose next incarnation may run on other hardware.
