trust: examines a worker's runs for stalls only when one can have stalled

The planner looked up the step of each run of each worker that reported, in each tick: with 15,000 runs that took longer than the rest of the tick's own checks. The time before which no run can have stalled is kept, so that most reports need no examination.

--- a/lib/src/batch/trust.rs
+++ b/lib/src/batch/trust.rs
@@ -105,6 +105,8 @@
     pub hangs_by_itself: bool,
     /// When one of its runs progressed last.
     pub progressed_at: Millis,
+    /// Until when no run can have stalled, so that its runs need not be examined.
+    pub examined_until: Millis,
     /// Cause of suspicion that was logged last; `None` once its end was logged.
     pub logged: Option<Suspicion>,
 }
@@ -369,8 +371,13 @@
     }
     for &key in workers {
         let Some(worker) = tables.workers.get(key) else { continue };
-        let hang = hang(tables, now, key, worker);
         let record = &worker.trust;
+        let mut examined_until = record.examined_until;
+        let hang = if now < examined_until && record.hangs_until <= now {
+            Hang::None
+        } else {
+            hang(tables, now, key, worker, &mut examined_until)
+        };
         // Progress refutes a stall; the mere end of the stalled runs does not.
         let progresses = now.since(record.progressed_at) < MIN_STALL;
         let (hangs_until, hangs_by_itself) = match hang {
@@ -381,6 +388,7 @@
             Hang::None => (record.hangs_until, record.hangs_by_itself),
         };
         let Some(worker) = tables.workers.get_mut(key) else { continue };
+        worker.trust.examined_until = examined_until;
         worker.trust.hangs_until = hangs_until;
         worker.trust.hangs_by_itself = hangs_by_itself;
         let suspicion = worker.trust.suspicion(now);
@@ -421,19 +429,34 @@
     Elsewhere,
 }
 
-fn hang(tables: &Tables, now: Millis, key: key::Worker, worker: &Worker) -> Hang {
+/// Examines the runs of a worker, and determines until when the result stays the same unless one of
+/// them has stalled: a run that is first listed or progresses later cannot stall before.
+fn hang(
+    tables: &Tables,
+    now: Millis,
+    key: key::Worker,
+    worker: &Worker,
+    examined_until: &mut Millis,
+) -> Hang {
     let Some(reported_at) = worker.last_answer.filter(|_| worker.is_responsive) else {
         return Hang::None;
     };
+    *examined_until = reported_at + MIN_STALL;
     let mut hang = Hang::None;
     for run in worker.runs.iter().filter_map(|run| tables.runs.get(*run)) {
-        let idle = reported_at.since(run.progressed_at.max(worker.trust.progressed_at));
-        if idle < MIN_STALL {
+        let progressed_at = run.progressed_at.max(worker.trust.progressed_at);
+        if reported_at < progressed_at + MIN_STALL {
+            *examined_until = (*examined_until).min(progressed_at + MIN_STALL);
             continue;
         }
         let Some(step) = tables.step(run.task.instance) else { continue };
+        if !is_at_work(step, run) {
+            continue;
+        }
         let margin = if has_pace(run) { 1 } else { ESTIMATE_MARGIN };
-        if !is_at_work(step, run) || idle < interval(step, run) * margin * STALL_POINTS {
+        let stalls_at = progressed_at + interval(step, run) * margin * STALL_POINTS;
+        *examined_until = (*examined_until).min(stalls_at);
+        if reported_at < stalls_at {
             continue;
         }
         if !step.gang {
