--- a/lib/src/batch/trust.rs
+++ b/lib/src/batch/trust.rs
@@ -97,7 +97,7 @@
     pub failed_at: Option<Millis>,
     /// When a run failed there last that is not its job's own fault.
     pub blamed_at: Option<Millis>,
-    /// Number of different jobs with such failures within [`MEMORY`] before the newest.
+    /// Number of different jobs with such failures among those that were remembered at the newest.
     pub blamed_jobs: usize,
     /// Until when it counts as hanging.
     pub hangs_until: Millis,
