--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -24,6 +24,7 @@
 use lavendergauge_lib::batch::table::Tables;
 use lavendergauge_lib::batch::table::Worker;
 use lavendergauge_lib::batch::tick;
+use lavendergauge_lib::clock::Millis;
 use lavendergauge_net::client;
 use lavendergauge_net::client::Client;
 use lavendergauge_platform::Error;
@@ -41,6 +42,7 @@
 use crate::batch::follow;
 use crate::batch::keys;
 use crate::batch::leader::Term;
+use crate::batch::learned;
 use crate::batch::maintenance;
 use crate::batch::message;
 use crate::batch::message::Answers;
@@ -82,6 +84,8 @@
     busy_agents: Mutex<BTreeSet<String>>,
     /// Client for calls to agents.
     pub client: Client,
+    /// When the newest explanation was begun; locked while one is made.
+    pub explained_at: tokio::sync::Mutex<Millis>,
     name: String,
     tables: Mutex<Tables>,
 }
@@ -164,9 +168,14 @@
         agents: Mutex::new(HashMap::new()),
         busy_agents: Mutex::new(BTreeSet::new()),
         client: entry.client.clone(),
+        explained_at: tokio::sync::Mutex::new(Millis::default()),
         name: entry.name.clone(),
         tables: Mutex::new(tables),
     });
+    let mut tasks = JoinSet::new();
+    if entry.settings.policy.learned_state {
+        tasks.spawn(learned::run(entry.clone(), planner.clone(), term.clone()));
+    }
     let revision = load_all(entry, &planner).await;
     entry.set_planner(Some(planner.clone()));
     {
@@ -178,7 +187,6 @@
             tables.runs.len()
         );
     }
-    let mut tasks = JoinSet::new();
     tasks.spawn(follow::jobs(entry.clone(), planner.clone(), revision));
     tasks.spawn(follow::agents(entry.clone(), planner.clone(), term.clone()));
     tasks.spawn(maintenance::run(entry.clone(), planner.clone(), term.clone()));
@@ -339,6 +347,19 @@
                 instance.step
             );
         }
+        Event::Tier(instance, class, workers) => {
+            counter!("lavendergauge_speed_choices_total", "class" => class.name()).increment(1);
+            log::info!(
+                "event=speed-chosen job={} step={} class={} workers={workers}",
+                instance.job,
+                instance.step,
+                class.name()
+            );
+        }
+        Event::Speed(node, permille) => {
+            histogram!("lavendergauge_worker_factor").record(f64::from(*permille) / 1000.0);
+            log::info!("event=worker-speed worker={node} factor_permille={permille}");
+        }
         Event::Ended(id, outcome) => log::info!("event=job-ended job={id} outcome={outcome:?}"),
     }
 }
@@ -348,6 +369,9 @@
     match change {
         Change::Joined(id) => log::info!("event=worker-known worker={id}"),
         Change::Leaving(id) => log::info!("event=worker-leaving worker={id}"),
+        Change::Recalled { worker, avoided_ms } => {
+            log::info!("event=worker-recalled worker={worker} avoided_ms={avoided_ms}");
+        }
         Change::Began(task, run) => log::info!("event=began task={task} run={run}"),
         Change::Ended(task, run, outcome) => {
             log::info!("event=ended task={task} run={run} outcome={}", Value(outcome));
--- a/lib/src/batch/event.rs
+++ b/lib/src/batch/event.rs
@@ -7,6 +7,7 @@
 use crate::batch::job::Task;
 use crate::batch::observe::Change;
 use crate::batch::progress::Outcome;
+use crate::batch::speed;
 use crate::batch::trust::Suspicion;
 use crate::batch::wait::Wait;
 
@@ -54,6 +55,10 @@
     /// Last attempts of a step wait for proven workers, although others have room; the number of
     /// proven ones.
     LastAttemptWaits(StepInstance, usize),
+    /// A step is placed on workers of a class of speed; their number.
+    Tier(StepInstance, speed::Class, usize),
+    /// A worker's factor is known to have changed, in thousandths of the usual time.
+    Speed(String, u32),
     /// A job has ended.
     Ended(Id, Outcome),
 }
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -24,10 +24,12 @@
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
+use crate::batch::learned;
 use crate::batch::pace;
 use crate::batch::policy::Policy;
 use crate::batch::progress::Outcome;
 use crate::batch::rank;
+use crate::batch::speed;
 use crate::batch::trust;
 use crate::clock::Millis;
 use crate::key;
@@ -156,6 +158,8 @@
     pub measure: u32,
     /// Share of full speed that was ordered last, in percent.
     pub pace_percent: u32,
+    /// Progress at the last sample of its speed.
+    pub pace_mark: Option<speed::Mark>,
 }
 
 impl Run {
@@ -191,6 +195,7 @@
             is_stop_acknowledged: false,
             measure: 0,
             pace_percent: FULL_PACE,
+            pace_mark: None,
         }
     }
 }
@@ -354,6 +359,8 @@
     pub health: health::Health,
     /// What its starts and runs have shown.
     pub trust: trust::Record,
+    /// What is known about its speed.
+    pub speed: speed::Record,
     /// Gets no new work before this time.
     pub paused_until: Millis,
     /// Number of starts that were refused since one was carried out.
@@ -414,10 +421,14 @@
     pub examined: BTreeMap<StepInstance, Millis>,
     /// When it was last logged why a step finds no place.
     pub explained: BTreeMap<StepInstance, Millis>,
+    /// Samples of the speed of workers, by step.
+    pub paces: speed::Steps,
     /// Recent arrivals of the most urgent jobs.
     pub urgent_arrivals: headroom::Arrivals,
     /// Recent failures on all workers.
     pub trust: trust::State,
+    /// What an earlier leader knew about workers that have not reported yet, by agent.
+    pub learned: BTreeMap<String, learned::Pending>,
     /// Jobs whose record has to be written.
     pub dirty: BTreeSet<Id>,
     /// Jobs that changed since the last tick: their outcome and waiting tasks are to be determined.
@@ -461,8 +472,10 @@
             refills: BTreeMap::new(),
             examined: BTreeMap::new(),
             explained: BTreeMap::new(),
+            paces: speed::Steps::default(),
             urgent_arrivals: headroom::Arrivals::default(),
             trust: trust::State::default(),
+            learned: BTreeMap::new(),
             dirty: BTreeSet::new(),
             unsettled: BTreeSet::new(),
             active: BTreeSet::new(),
@@ -679,6 +692,7 @@
             unrecorded: BTreeMap::new(),
             health: health::Health::default(),
             trust: trust::Record::default(),
+            speed: speed::Record::default(),
             paused_until: Millis(0),
             refusals: 0,
             pace: None,
