--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -321,6 +321,32 @@
             wait.reserved,
             wait.open
         ),
+        Event::Suspected(node, suspicion) => {
+            counter!("lavendergauge_workers_suspected_total", "cause" => suspicion.name())
+                .increment(1);
+            log::info!("event=worker-suspected worker={node} cause={}", suspicion.name());
+        }
+        Event::Cleared(node) => log::info!("event=worker-cleared worker={node}"),
+        Event::FailureBurst(workers) => {
+            counter!("lavendergauge_failure_bursts_total").increment(1);
+            log::warn!("event=failure-burst workers={workers}");
+        }
+        Event::PlacedOnProven(instance, choices) => {
+            counter!("lavendergauge_steps_on_proven_workers_total").increment(1);
+            log::info!(
+                "event=placed-on-proven job={} step={} choices={choices}",
+                instance.job,
+                instance.step
+            );
+        }
+        Event::LastAttemptWaits(instance, proven) => {
+            counter!("lavendergauge_last_attempts_waiting_total").increment(1);
+            log::info!(
+                "event=last-attempt-waits job={} step={} proven={proven}",
+                instance.job,
+                instance.step
+            );
+        }
         Event::Tier(instance, class, workers) => {
             counter!("lavendergauge_speed_choices_total", "class" => class.name()).increment(1);
             log::info!(
--- a/lib/src/batch/speed.rs
+++ b/lib/src/batch/speed.rs
@@ -458,13 +458,13 @@
     now: Millis,
     candidate: &Candidate,
     step: &Step,
-    pool: Vec<key::Worker>,
+    pool: &[key::Worker],
 ) -> SmallVec<[Tier; 3]> {
     let any = |workers| Tier { class: Class::Any, workers, is_spread: false };
     if !tables.policy.worker_speed {
-        return smallvec![any(pool)];
+        return smallvec![any(pool.to_vec())];
     }
-    let Split { fast, unknown, slow, fast_log_factor, slow_log_factor } = split(tables, &pool);
+    let Split { fast, unknown, slow, fast_log_factor, slow_log_factor } = split(tables, pool);
     let time = Time::of(tables, now, candidate, step);
     let tier = |class, workers| Tier { class, workers, is_spread: class == Class::Unknown };
     let mut tiers = SmallVec::new();
@@ -479,11 +479,11 @@
             tiers.push(tier(Class::Slow, slow));
         }
         tiers.retain(|tier: &mut Tier| !tier.workers.is_empty());
-        tiers.push(any(pool));
+        tiers.push(any(pool.to_vec()));
         return tiers;
     }
     if slow.is_empty() {
-        return smallvec![any(pool)];
+        return smallvec![any(pool.to_vec())];
     }
     let is_adequate = |key: &key::Worker| time.suffices_at(tables.workers[*key].speed.log_factor);
     let adequate: Vec<key::Worker> = slow.into_iter().filter(is_adequate).collect();
@@ -495,7 +495,7 @@
     tiers.push(tier(Class::Fast, fast));
     tiers.push(tier(Class::NotSlow, not_slow));
     if !waits {
-        tiers.push(any(pool));
+        tiers.push(any(pool.to_vec()));
     }
     tiers
 }
@@ -601,7 +601,7 @@
     now: Millis,
     candidate: &Candidate,
     step: &Step,
-    pool: Vec<key::Worker>,
+    pool: &[key::Worker],
 ) -> Vec<key::Worker> {
     let mut tiers = tiers(tables, now, candidate, step, pool);
     tiers.pop().map(|tier| tier.workers).unwrap_or_default()
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -30,6 +30,7 @@
 use crate::batch::progress::Outcome;
 use crate::batch::rank;
 use crate::batch::speed;
+use crate::batch::trust;
 use crate::clock::Millis;
 use crate::key;
 use crate::resource::Resources;
@@ -207,6 +208,8 @@
     pub run: u32,
     /// Number of failed runs.
     pub failures: u32,
+    /// When its newest failure was observed; zero under an earlier planner.
+    pub failed_at: Millis,
     /// Number of the newest run that failed.
     pub failed_run: u32,
     /// Whether a run has succeeded.
@@ -354,6 +357,8 @@
     pub unrecorded: BTreeMap<Id, u64>,
     /// Failure history.
     pub health: health::Health,
+    /// What its starts and runs have shown.
+    pub trust: trust::Record,
     /// What is known about its speed.
     pub speed: speed::Record,
     /// Gets no new work before this time.
@@ -420,6 +425,8 @@
     pub paces: speed::Steps,
     /// Recent arrivals of the most urgent jobs.
     pub urgent_arrivals: headroom::Arrivals,
+    /// Recent failures on all workers.
+    pub trust: trust::State,
     /// What an earlier leader knew about workers that have not reported yet, by agent.
     pub learned: BTreeMap<String, learned::Pending>,
     /// Jobs whose record has to be written.
@@ -467,6 +474,7 @@
             explained: BTreeMap::new(),
             paces: speed::Steps::default(),
             urgent_arrivals: headroom::Arrivals::default(),
+            trust: trust::State::default(),
             learned: BTreeMap::new(),
             dirty: BTreeSet::new(),
             unsettled: BTreeSet::new(),
@@ -683,6 +691,7 @@
             acknowledged: 0,
             unrecorded: BTreeMap::new(),
             health: health::Health::default(),
+            trust: trust::Record::default(),
             speed: speed::Record::default(),
             paused_until: Millis(0),
             refusals: 0,
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -18,6 +18,7 @@
 use crate::batch::table::Tables;
 use crate::batch::table::TaskState;
 use crate::batch::table::WaitingStep;
+use crate::batch::trust;
 use crate::clock::Millis;
 use crate::key;
 
@@ -37,6 +38,7 @@
     begin_due(tables, now, wall_ms);
     supervise::end_expired(tables, now, events);
     let changed_workers = std::mem::take(&mut tables.changed_workers);
+    trust::judge(tables, now, &changed_workers, events);
     supervise::stop_stuck(tables, now, &changed_workers, events);
     supervise::stop_on_leaving_workers(tables, now, events);
     pace::adjust(tables, now, &changed_workers);
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -36,7 +36,6 @@
 use lavendergauge_lib::batch::order::Answer;
 use lavendergauge_lib::batch::order::Order;
 use lavendergauge_lib::batch::order::Verb;
-use lavendergauge_lib::batch::policy::Policy;
 use lavendergauge_lib::batch::progress::Progress;
 use lavendergauge_lib::batch::records;
 use lavendergauge_lib::batch::table;
@@ -85,10 +84,14 @@
     pub ready: bool,
     /// Whether its runs make no progress.
     pub is_stuck: bool,
+    /// Whether its runs pause: they do no work, which is still to be done afterwards.
+    pub is_paused: bool,
     /// Time that it takes for the same work, in thousandths of the usual time.
     pub slow_permille: u64,
     /// Whether every run that it starts fails at once.
     pub fails: bool,
+    /// Start of a run from which on it fails, if the worker fails what it starts.
+    pub fails_since: u64,
     /// Whether answers to orders are lost.
     pub loses_answers: bool,
     /// Whether its agent refuses every start.
@@ -148,8 +151,6 @@
     pub store_down: bool,
     /// Orders to run at a share of the full speed, in percent.
     pub paced: Vec<(Task, u32)>,
-    /// Optional decisions of the planner; they apply from the next tick.
-    pub policy: Policy,
     next_id: u64,
 }
 
@@ -201,8 +202,10 @@
                 reachable: true,
                 ready: true,
                 is_stuck: false,
+                is_paused: false,
                 slow_permille: 1000,
                 fails: false,
+                fails_since: 0,
                 loses_answers: false,
                 refuses: false,
                 is_responsive: true,
@@ -223,7 +226,6 @@
             wasted_ms: 0,
             store_down: false,
             paced: Vec::new(),
-            policy: Policy::default(),
             next_id: 1,
         };
         sim.run_for(200);
@@ -288,7 +290,9 @@
     /// Replaces the planner by another one, which loads what is stored.
     pub fn take_over(&mut self) {
         self.fence += 1;
+        let policy = self.tables.policy;
         self.tables = Tables::new(bounds(), Millis(self.now));
+        self.tables.policy = policy;
         let (now, wall) = (Millis(self.now), self.wall());
         for (id, record) in &self.records {
             records::load_record(&mut self.tables, now, wall, *id, record.clone());
@@ -328,6 +332,9 @@
             let lease_expired = worker.lease_until < now && !worker.runs.is_empty();
             let runs: Vec<Task> = worker.runs.keys().copied().collect();
             for task in runs {
+                if worker.is_paused {
+                    worker.runs.entry(task).and_modify(|run| run.began_at += STEP_MS);
+                }
                 let run = worker.runs[&task].clone();
                 let ending = if lease_expired {
                     Some((Ending::Over, "lapsed"))
@@ -335,7 +342,7 @@
                     Some((Ending::Over, "stopped"))
                 } else if worker.is_stuck || run.stops_at.is_some() {
                     None
-                } else if worker.fails {
+                } else if worker.fails && worker.fails_since <= run.began_at {
                     Some((Ending::Failed, "failed"))
                 } else if run.began_at + run.duration_ms <= now {
                     Some((Ending::Done, "done"))
@@ -446,7 +453,6 @@
 
     fn tick(&mut self) {
         self.tables.set_config(self.config.clone());
-        self.tables.policy = self.policy;
         let (now, wall) = (Millis(self.now), self.wall());
         tick::run(&mut self.tables, now, wall);
         if !self.store_down {
--- a/lib/tests/batch_speed.rs
+++ b/lib/tests/batch_speed.rs
@@ -26,7 +26,7 @@
 /// Creates a simulation of 24 workers of which every third is slow, with the policy on or off.
 fn uneven(worker_speed: bool) -> Simulation {
     let mut sim = Simulation::new(8);
-    sim.policy = Policy { worker_speed, ..Policy::default() };
+    sim.tables.policy = Policy { worker_speed, ..Policy::default() };
     for (index, worker) in sim.workers.iter_mut().enumerate() {
         worker.slow_permille = if index % 3 == 0 { SLOW_PERMILLE } else { FAST_PERMILLE };
     }
@@ -95,7 +95,7 @@
 fn slow_for_a_while() {
     // Guards against a factor that stays after the worker has recovered, or is not seen in time.
     let mut sim = Simulation::new(4);
-    sim.policy = Policy { worker_speed: true, ..Policy::default() };
+    sim.tables.policy = Policy { worker_speed: true, ..Policy::default() };
     let submit = |sim: &mut Simulation| {
         for _ in 0..6 {
             sim.submit("patient", "praha", vec![step(48, 1, 2000)], 2000);
@@ -137,7 +137,7 @@
     for seed in 0..4 {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut sim = Simulation::new(8);
-        sim.policy = Policy { worker_speed: true, ..Policy::default() };
+        sim.tables.policy = Policy { worker_speed: true, ..Policy::default() };
         for _ in 0..40 {
             let work = rng.random_range(2000..6000);
             let estimate = work * rng.random_range(50..200) / 100;
