shortage, share: order and prices by what callers lose, behind switches

Cause: under shortage late jobs precede those that can be in time, preemption ignores what its victim's caller loses, and one account's burst delays all others. Reserved capacity that other runs still hold is no longer offered to a second step by the search for victims when the switch is on.

--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -29,6 +29,7 @@
 use lavendergauge_platform::Error;
 use lavendergauge_platform::store::Item;
 use lavendergauge_wire::codec;
+use metrics::counter;
 use metrics::histogram;
 use serde::de::DeserializeOwned;
 use tokio::sync::Notify;
@@ -312,10 +313,63 @@
             wait.reserved,
             wait.open
         ),
+        Event::Shortage(_) | Event::Raised(..) | Event::Weighed(_) | Event::Shares(_) => {
+            log_choice(event);
+        }
         Event::Ended(id, outcome) => log::info!("event=job-ended job={id} outcome={outcome:?}"),
     }
 }
 
+/// Logs and counts a decision between callers when not all can be served in time.
+fn log_choice(event: &Event) {
+    match event {
+        Event::Shortage(summary) => {
+            histogram!("lavendergauge_shortage_deferred_steps").record(summary.deferred as f64);
+            histogram!("lavendergauge_shortage_late_steps").record(summary.late as f64);
+            log::info!(
+                "event=shortage in_time={} deferred={} late={} worthless={}",
+                summary.in_time,
+                summary.deferred,
+                summary.late,
+                summary.worthless
+            );
+        }
+        Event::Raised(instance, waited) => {
+            counter!("lavendergauge_steps_raised_total").increment(1);
+            log::info!(
+                "event=step-raised job={} step={} waited_ms={}",
+                instance.job,
+                instance.step,
+                waited.as_millis()
+            );
+        }
+        Event::Weighed(weighing) => {
+            let verdict = weighing.verdict.name();
+            counter!("lavendergauge_preemptions_weighed_total", "verdict" => verdict).increment(1);
+            log::info!(
+                "event=preemption-weighed job={} step={} verdict={verdict} cost={} gain={} \
+                 wait_ms={}",
+                weighing.instance.job,
+                weighing.instance.step,
+                weighing.cost,
+                weighing.gain,
+                weighing.wait_ms.map_or_else(|| "none".to_owned(), |ms| ms.to_string())
+            );
+        }
+        Event::Shares(summary) => {
+            histogram!("lavendergauge_account_share_level").record(f64::from(summary.level));
+            log::info!(
+                "event=account-put-behind account={} level={} lowest={} steps={}",
+                Value(&summary.account),
+                summary.level,
+                summary.lowest,
+                summary.steps
+            );
+        }
+        _ => {}
+    }
+}
+
 /// Logs a change that an agent's report has caused.
 pub fn log_change(change: &Change) {
     match change {
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -25,6 +25,8 @@
 pub mod records;
 pub mod refill;
 pub mod reservation;
+pub mod share;
+pub mod shortage;
 pub mod succession;
 pub mod supervise;
 pub mod table;
--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -16,6 +16,8 @@
 use crate::batch::rank::Candidate;
 use crate::batch::refill;
 use crate::batch::reservation;
+use crate::batch::share;
+use crate::batch::shortage;
 use crate::batch::table::Phase;
 use crate::batch::table::Reservation;
 use crate::batch::table::Run;
@@ -50,7 +52,9 @@
     let mut availability = Availability::of(tables, now);
     refill::place_refused(tables, now, &availability, events);
     let covered = rank::covered(tables);
+    share::settle(tables, now);
     let candidates = rank::candidates(tables, &covered, now);
+    shortage::note(tables, now, &candidates, events);
     let waiting: BTreeSet<StepInstance> =
         candidates.iter().map(|candidate| candidate.instance).collect();
     tables.reservations.retain(|instance, _| waiting.contains(instance));
--- a/lib/src/batch/event.rs
+++ b/lib/src/batch/event.rs
@@ -1,5 +1,7 @@
 //! Events of the planner's ticks, for the log.
 
+use std::time::Duration;
+
 use lavendergauge_derive::value;
 
 use crate::batch::job::Id;
@@ -7,6 +9,8 @@
 use crate::batch::job::Task;
 use crate::batch::observe::Change;
 use crate::batch::progress::Outcome;
+use crate::batch::share;
+use crate::batch::shortage;
 use crate::batch::wait::Wait;
 
 /// A decision of a tick or a change that it observed, for the log.
@@ -42,6 +46,15 @@
     Reserved(StepInstance, usize),
     /// A step finds no place; the numbers of workers by cause.
     Waiting(StepInstance, Wait),
+    /// Not all waiting steps can be served in time; at most one a second.
+    Shortage(shortage::Summary),
+    /// A step that has waited beyond its bound precedes all that are not guaranteed.
+    Raised(StepInstance, Duration),
+    /// It was weighed whether to stop runs for a step; at most one a second for each step, unless
+    /// runs are stopped.
+    Weighed(shortage::Weighing),
+    /// The steps of an account are put behind those of others; at most one a second.
+    Shares(share::Summary),
     /// A job has ended.
     Ended(Id, Outcome),
 }
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -55,7 +55,12 @@
     /// Returns the free resources of a worker that are not reserved.
     pub fn unreserved(&self, tables: &Tables, worker: key::Worker) -> Resources {
         let free = tables.workers.get(worker).map(Worker::free).unwrap_or_default();
-        free.minus(self.reserved.get(worker).copied().unwrap_or_default())
+        free.minus(self.reserved(worker))
+    }
+
+    /// Returns the resources of a worker that are reserved for waiting steps.
+    pub fn reserved(&self, worker: key::Worker) -> Resources {
+        self.reserved.get(worker).copied().unwrap_or_default()
     }
 
     /// Tells whether a task of a step fits on any worker that takes new work.
--- a/lib/src/batch/preempt.rs
+++ b/lib/src/batch/preempt.rs
@@ -36,13 +36,18 @@
     pub cost: u64,
 }
 
-/// Returns the work that is lost when a run is stopped, in core-milliseconds.
-pub fn lost_work(step: &Step, run: &Run, now: Millis) -> u64 {
+/// Returns the number of cores that a task of a step counts as.
+pub(super) fn cores(step: &Step) -> u64 {
     let cores =
         u64::from(step.processors) / 1000 + ACCELERATOR_CORES * u64::from(step.accelerators);
+    cores.max(1)
+}
+
+/// Returns the work that is lost when a run is stopped, in core-milliseconds.
+pub fn lost_work(step: &Step, run: &Run, now: Millis) -> u64 {
     let elapsed = now.since(run.since).as_millis() as u64;
     let lost = if step.checkpoints { elapsed.min(CHECKPOINTED_LOSS_MS) } else { elapsed };
-    cores.max(1) * lost
+    cores(step) * lost
 }
 
 /// Finds the cheapest way to place `count` tasks of a step in one of the groups of workers.
@@ -162,19 +167,22 @@
     fn offer(&mut self, worker: key::Worker) -> Option<Offer> {
         let row = self.tables.workers.get(worker)?;
         let change = self.freed.get(worker).copied().unwrap_or_default();
-        let mut free = self
-            .availability
-            .unreserved(self.tables, worker)
-            .plus(change.freed)
-            .minus(change.taken);
-        let accelerators = free.accelerators;
+        let (mut free, reserved) = if self.tables.policy.shortage {
+            // What ending runs free may be reserved for another step.
+            let reserved = self.availability.reserved(worker);
+            (row.free().plus(change.freed), reserved.plus(change.taken))
+        } else {
+            let unreserved = self.availability.unreserved(self.tables, worker);
+            (unreserved.plus(change.freed).minus(change.taken), Resources::default())
+        };
+        let accelerators = free.minus(reserved).accelerators;
         let max = self.step.max_per_worker;
         if max != 0 && max <= change.tasks + place::tasks_on(self.tables, self.instance, worker) {
             return None;
         }
         let demand = self.step.resources();
         let mut offer = Offer { worker, units: SmallVec::new(), cost: 0, accelerators };
-        if demand.fits(free) {
+        if demand.fits(free.minus(reserved)) {
             return Some(offer);
         }
         let mut units: SmallVec<[(u64, Unit, Resources); 8]> = SmallVec::new();
@@ -194,7 +202,7 @@
             free = free.plus(freed);
             offer.cost += cost;
             offer.units.push(unit);
-            if demand.fits(free) {
+            if demand.fits(free.minus(reserved)) {
                 return Some(offer);
             }
         }
--- a/lib/src/batch/rank.rs
+++ b/lib/src/batch/rank.rs
@@ -8,12 +8,14 @@
 use crate::batch::job::Id;
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
+use crate::batch::shortage;
+use crate::batch::shortage::Class;
 use crate::batch::table::Job;
 use crate::batch::table::Tables;
 use crate::clock::Millis;
 
 /// Multiple of its objective after which a job has no value to its caller any more.
-const WORTHLESS_FACTOR: u64 = 3;
+pub(super) const WORTHLESS_FACTOR: u64 = 3;
 /// Estimate for a task whose caller gave none, in milliseconds.
 const UNKNOWN_ESTIMATE_MS: u64 = 5000;
 
@@ -30,6 +32,12 @@
     pub is_worthless: bool,
     /// Latest start at which the job still meets its objective.
     pub latest_start: Millis,
+    /// Latest start at which the job still has any value to its caller.
+    pub worthless_start: Millis,
+    /// What the job still earns if it starts now.
+    pub class: Class,
+    /// How much its account has used, in quarters of its equal share.
+    pub share_level: u32,
     /// When it began to wait: when its occurrence was due.
     pub since: Millis,
     /// Indices of the waiting tasks.
@@ -70,6 +78,12 @@
     critical_paths
 }
 
+/// Returns the time from its due time in which a job should end, in milliseconds.
+pub(super) fn objective_ms(job: &Job) -> u64 {
+    let longest = job.critical_paths.iter().max().copied().unwrap_or(0);
+    longest * job.queue.stretch_permille / 1000 + job.queue.target_ms
+}
+
 /// Returns the number of accelerators that a job needs at a time.
 pub(super) fn accelerators_needed(job: &Job) -> u32 {
     job.steps().iter().map(|step| step.accelerators * step.tasks).max().unwrap_or(0)
@@ -124,8 +138,7 @@
     let mut candidates = Vec::new();
     for &id in &tables.waiting {
         let Some(job) = tables.jobs.get(&id).filter(|job| job.is_active()) else { continue };
-        let longest = job.critical_paths.iter().max().copied().unwrap_or(0);
-        let objective = longest * job.queue.stretch_permille / 1000 + job.queue.target_ms;
+        let objective = objective_ms(job);
         for row in &job.waiting {
             let Some(occurrence) = job.occurrences.get(&row.occurrence) else { continue };
             if now < occurrence.due {
@@ -133,25 +146,21 @@
             }
             let start = occurrence.due;
             let critical_path = job.critical_paths[usize::from(row.step)];
+            let worthless_at = start.0 + WORTHLESS_FACTOR * objective;
             candidates.push(Candidate {
                 instance: StepInstance { job: id, occurrence: row.occurrence, step: row.step },
                 guaranteed: covered.binary_search(&id).is_ok(),
                 priority: job.queue.priority,
-                is_worthless: start.0 + WORTHLESS_FACTOR * objective < now.0 + critical_path,
+                is_worthless: worthless_at < now.0 + critical_path,
                 latest_start: Millis((start.0 + objective).saturating_sub(critical_path)),
+                worthless_start: Millis(worthless_at.saturating_sub(critical_path)),
+                class: Class::InTime,
+                share_level: 0,
                 since: start,
                 waiting: row.tasks.clone(),
             });
         }
     }
-    candidates.sort_by_key(|candidate| {
-        (
-            !candidate.guaranteed,
-            candidate.priority,
-            candidate.is_worthless,
-            candidate.latest_start,
-            candidate.instance,
-        )
-    });
+    shortage::sort(tables, &mut candidates, now);
     candidates
 }
--- a/lib/src/batch/reservation.rs
+++ b/lib/src/batch/reservation.rs
@@ -13,8 +13,11 @@
 use crate::batch::place;
 use crate::batch::place::Availability;
 use crate::batch::preempt;
+use crate::batch::preempt::Plan;
 use crate::batch::rank;
 use crate::batch::rank::Candidate;
+use crate::batch::shortage;
+use crate::batch::shortage::Verdict;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
 use crate::batch::table::Reservation;
@@ -64,6 +67,7 @@
     if !step.gang
         || MAX_RESERVED_STEPS <= reserved_steps
         || now.since(candidate.since) < RESERVE_AFTER
+        || !shortage::may_reserve(tables, now, candidate)
     {
         return;
     }
@@ -140,6 +144,8 @@
 ) -> bool {
     let count = if step.gang { step.tasks } else { candidate.waiting.len() as u32 };
     let slack = slack(tables, now, candidate);
+    let measure =
+        tables.policy.shortage.then(|| shortage::Measure::of(tables, now, candidate, step, count));
     if candidate.guaranteed {
         // Guaranteed work takes capacity that is only reserved for other steps, without preemption.
         let released: Vec<StepInstance> = tables
@@ -163,7 +169,13 @@
         if ends_within(step, run, now, slack) {
             return Some(0);
         }
-        (yields && !step.long_running).then(|| preempt::lost_work(step, run, now))
+        if !yields || step.long_running {
+            return None;
+        }
+        match &measure {
+            Some(measure) => measure.price(tables, step, run, remaining_ms(step, run, now)),
+            None => Some(preempt::lost_work(step, run, now)),
+        }
     };
     let instance = candidate.instance;
     let plan =
@@ -177,16 +189,29 @@
                 price,
             )
         });
-    let Some(plan) = plan else { return false };
-    // An accelerator counts as 8 cores, as in `preempt::lost_work`, with which this is compared.
-    let cores = u64::from(step.processors) / 1000 + 8 * u64::from(step.accelerators);
-    let own_work = cores.max(1) * rank::estimated_ms(step) * u64::from(count);
+    let Some(mut plan) = plan else { return false };
+    let own_work = preempt::cores(step) * rank::estimated_ms(step) * u64::from(count);
     // A job that no guarantee covers may cost others as much work as it does itself, if it starts
     // in time, and only a part of that if it is late.
     let late = candidate.latest_start < now + Duration::from_millis(tables.bounds.stop_grace_ms);
     let max_cost = if late { own_work / LATE_WORK_DIVISOR } else { own_work };
-    if !candidate.guaranteed && max_cost < plan.cost {
-        return false;
+    match &measure {
+        Some(measure) if !candidate.guaranteed && 0 < plan.cost => {
+            let by_itself = wait_for_ends(tables, now, availability, candidate, count, groups);
+            let wait_ms = by_itself.as_ref().map(|(wait_ms, _)| *wait_ms);
+            let weighing = measure.weigh(plan.cost, wait_ms);
+            let verdict = weighing.verdict;
+            shortage::record(tables, now, weighing, events);
+            match (verdict, by_itself) {
+                (Verdict::Preempt, _) => {}
+                (Verdict::Wait, Some((_, placements))) => {
+                    plan = Plan { placements, victims: BTreeSet::new(), cost: 0 };
+                }
+                _ => return false,
+            }
+        }
+        None if !candidate.guaranteed && max_cost < plan.cost => return false,
+        _ => {}
     }
     for task in &plan.victims {
         let Some(victim) = tables.step(task.instance) else { continue };
@@ -205,12 +230,35 @@
     true
 }
 
+/// Returns in how many milliseconds a step finds capacity if no run is stopped, and where.
+fn wait_for_ends(
+    tables: &Tables,
+    now: Millis,
+    availability: &Availability,
+    candidate: &Candidate,
+    count: u32,
+    groups: &[Vec<key::Worker>],
+) -> Option<(u64, place::Placements)> {
+    let remaining =
+        |step: &Step, run: &Run| (!step.long_running).then(|| remaining_ms(step, run, now));
+    let plan =
+        preempt::cheapest(tables, availability, candidate.instance, count, groups, remaining)?;
+    let waits = plan.victims.iter().filter_map(|task| {
+        let run = tables.run_of(*task)?;
+        let step = tables.step(task.instance)?;
+        let grace_ms = tables.bounds.stop_grace_ms;
+        Some(if place::is_ending(run.phase) { grace_ms } else { remaining_ms(step, run, now) })
+    });
+    Some((waits.max().unwrap_or(0), plan.placements))
+}
+
 /// Returns the time for which an urgent step can wait for other runs to end by themselves.
 fn slack(tables: &Tables, now: Millis, candidate: &Candidate) -> Duration {
     let grace = Duration::from_millis(tables.bounds.stop_grace_ms);
     let spare = candidate.latest_start.since(now).saturating_sub(grace);
     if !candidate.guaranteed {
-        return spare;
+        // Stopping a run takes as long.
+        return if tables.policy.shortage { spare.max(grace) } else { spare };
     }
     let bound = Duration::from_millis(tables.bounds.reclaim_ms / RECLAIM_WAIT_DIVISOR);
     spare.min(bound.saturating_sub(now.since(candidate.since)))
--- /dev/null
+++ b/lib/src/batch/share.rs
@@ -0,0 +1,191 @@
+//! Orders waiting steps by how much of the fleet their client accounts have used.
+//!
+//! The load that this answers: one account submits a burst, and the jobs of all other accounts wait
+//! behind it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use lavendergauge_derive::row;
+use lavendergauge_derive::value;
+use slotmap::SecondaryMap;
+
+use crate::batch::event::Event;
+use crate::batch::rank::Candidate;
+use crate::batch::table::Tables;
+use crate::clock::Millis;
+use crate::fair;
+use crate::fair::Usage;
+use crate::key;
+use crate::resource::Resources;
+
+/// Half-life of past use. Jobs last for seconds, so that a burst is forgotten some jobs later.
+const HALF_LIFE: Duration = Duration::from_secs(20);
+/// Number of levels into which an account's equal share is divided. Differences within a level do not
+/// override deadlines.
+const LEVELS: f64 = 4.0;
+/// Weight of an account. The configuration has none, so all are equal.
+const WEIGHT: f64 = 1.0;
+/// Share below which an account without runs and waiting work does not take part.
+const MIN_SHARE: f64 = 0.001;
+/// Least time between two log lines.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What each account holds and has used.
+#[row]
+#[derive(Default)]
+pub struct State {
+    accounts: BTreeMap<String, Account>,
+    /// Runs that are counted, with their account.
+    runs: SecondaryMap<key::Run, (String, Resources)>,
+    /// Accounts whose held resources changed since the last tick.
+    changed: BTreeSet<String>,
+    noted_at: Option<Millis>,
+}
+
+/// Use of one account.
+#[row]
+#[derive(Default)]
+struct Account {
+    held: Resources,
+    /// Dominant share held since the last update of `usage`.
+    share: f64,
+    usage: Usage,
+}
+
+impl Account {
+    /// Returns the mean of the present and the past share.
+    fn used(&self, now: Millis) -> f64 {
+        (self.share + self.usage.average_over(now, self.share, HALF_LIFE)) / 2.0
+    }
+}
+
+/// The account whose steps were put behind those of others, for the log.
+#[value]
+pub struct Summary {
+    /// The account.
+    pub account: String,
+    /// Highest level of its waiting steps, in quarters of its equal share.
+    pub level: u32,
+    /// Lowest level of any account's waiting steps.
+    pub lowest: u32,
+    /// Number of its waiting steps.
+    pub steps: usize,
+}
+
+/// Counts a run that was inserted.
+pub(super) fn note_inserted(tables: &mut Tables, key: key::Run) {
+    let Some(run) = tables.runs.get(key) else { return };
+    let Some(job) = tables.jobs.get(&run.task.instance.job) else { return };
+    let (account, demand) = (job.record.account.clone(), run.demand);
+    let state = &mut tables.shares;
+    let row = state.accounts.entry(account.clone()).or_default();
+    row.held = row.held.plus(demand);
+    state.changed.insert(account.clone());
+    state.runs.insert(key, (account, demand));
+}
+
+/// Discounts a run that was removed.
+pub(super) fn note_removed(state: &mut State, key: key::Run) {
+    let Some((account, demand)) = state.runs.remove(key) else { return };
+    if let Some(row) = state.accounts.get_mut(&account) {
+        row.held = row.held.minus(demand);
+        state.changed.insert(account);
+    }
+}
+
+/// Updates the use of the accounts that changed since the last tick.
+pub(super) fn settle(tables: &mut Tables, now: Millis) {
+    if tables.shares.changed.is_empty() {
+        return;
+    }
+    let fleet = fleet(tables);
+    let state = &mut tables.shares;
+    for name in std::mem::take(&mut state.changed) {
+        let Some(row) = state.accounts.get_mut(&name) else { continue };
+        row.usage.settle_over(now, row.share, HALF_LIFE);
+        row.share = fair::dominant(row.held, fleet);
+    }
+}
+
+/// Returns the resources of all workers that take work.
+fn fleet(tables: &Tables) -> Resources {
+    tables
+        .workers
+        .values()
+        .filter(|worker| worker.ready && worker.is_reachable)
+        .fold(Resources::default(), |sum, worker| sum.plus(worker.capacity))
+}
+
+/// Returns the level of an account that uses a share of the fleet: the number of whole quarters of its
+/// equal share.
+///
+/// ```
+/// use lavendergauge_lib::batch::share;
+/// assert_eq!(share::level(0.1, 1.0, 2.0), 0);
+/// assert_eq!(share::level(0.3, 1.0, 2.0), 2);
+/// assert_eq!(share::level(0.3, 2.0, 2.0), 1);
+/// ```
+pub fn level(used: f64, weight: f64, total_weight: f64) -> u32 {
+    (used * LEVELS * total_weight / weight) as u32
+}
+
+/// Sets the level of each step of a list that is sorted otherwise.
+///
+/// The steps of an account that precede a step count as use, so that the work of a burst is spread over
+/// the levels even before any of it runs.
+pub(super) fn set_levels(tables: &Tables, candidates: &mut [Candidate], now: Millis) {
+    let fleet = fleet(tables);
+    let mut used: BTreeMap<&str, f64> = tables
+        .shares
+        .accounts
+        .iter()
+        .map(|(name, row)| (name.as_str(), row.used(now)))
+        .filter(|(_, used)| MIN_SHARE <= *used)
+        .collect();
+    let account = |candidate: &Candidate| {
+        tables.jobs.get(&candidate.instance.job).map(|job| job.record.account.as_str())
+    };
+    for name in candidates.iter().filter_map(account) {
+        used.entry(name).or_default();
+    }
+    let total_weight = WEIGHT * used.len() as f64;
+    for candidate in candidates {
+        let Some(used) = account(candidate).and_then(|name| used.get_mut(name)) else { continue };
+        candidate.share_level = level(*used, WEIGHT, total_weight);
+        let Some(step) = tables.step(candidate.instance) else { continue };
+        let demand = step.resources().times(candidate.waiting.len() as u32);
+        *used += fair::dominant(demand, fleet);
+    }
+}
+
+/// Records for the log which account's steps are put behind those of others.
+pub(super) fn note(
+    tables: &mut Tables,
+    now: Millis,
+    candidates: &[Candidate],
+    events: &mut Vec<Event>,
+) {
+    if tables.shares.noted_at.is_some_and(|at| now.since(at) < LOG_INTERVAL) {
+        return;
+    }
+    let shared = || candidates.iter().filter(|candidate| !candidate.guaranteed);
+    let Some(highest) = shared().max_by_key(|candidate| candidate.share_level) else { return };
+    let lowest = shared().map(|candidate| candidate.share_level).min().unwrap_or(0);
+    if highest.share_level == lowest {
+        return;
+    }
+    let account = |candidate: &Candidate| {
+        tables.jobs.get(&candidate.instance.job).map(|job| &job.record.account)
+    };
+    let Some(name) = account(highest) else { return };
+    let summary = Summary {
+        account: name.clone(),
+        level: highest.share_level,
+        lowest,
+        steps: shared().filter(|candidate| account(candidate) == Some(name)).count(),
+    };
+    tables.shares.noted_at = Some(now);
+    events.push(Event::Shares(summary));
+}
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -28,6 +28,8 @@
 use crate::batch::policy::Policy;
 use crate::batch::progress::Outcome;
 use crate::batch::rank;
+use crate::batch::share;
+use crate::batch::shortage;
 use crate::clock::Millis;
 use crate::key;
 use crate::resource::Resources;
@@ -409,6 +411,10 @@
     pub examined: BTreeMap<StepInstance, Millis>,
     /// When it was last logged why a step finds no place.
     pub explained: BTreeMap<StepInstance, Millis>,
+    /// Capacity in use by expected end, and earlier decisions on waiting steps.
+    pub shortage: shortage::State,
+    /// What each client account holds and has used.
+    pub shares: share::State,
     /// Recent arrivals of the most urgent jobs.
     pub urgent_arrivals: headroom::Arrivals,
     /// Jobs whose record has to be written.
@@ -454,6 +460,8 @@
             refills: BTreeMap::new(),
             examined: BTreeMap::new(),
             explained: BTreeMap::new(),
+            shortage: shortage::State::default(),
+            shares: share::State::default(),
             urgent_arrivals: headroom::Arrivals::default(),
             dirty: BTreeSet::new(),
             unsettled: BTreeSet::new(),
@@ -570,6 +578,12 @@
         }
         self.unsettled.insert(task.instance.job);
         self.changed_workers.insert(worker);
+        if self.policy.shortage {
+            shortage::note_inserted(self, key);
+        }
+        if self.policy.account_shares {
+            share::note_inserted(self, key);
+        }
         Some(key)
     }
 
@@ -577,6 +591,8 @@
     pub fn remove_run(&mut self, key: key::Run) -> Option<Run> {
         let run = self.runs.remove(key)?;
         self.unsent.remove(&key);
+        shortage::note_removed(&mut self.shortage, key);
+        share::note_removed(&mut self.shares, key);
         if let Some(task_state) = self.task_state_mut(run.task)
             && task_state.live == Some(key)
         {
--- a/lib/src/fair.rs
+++ b/lib/src/fair.rs
@@ -33,14 +33,32 @@
     /// assert!((hour - 0.5).abs() < 1e-9);
     /// ```
     pub fn average(&self, now: Millis, share: f64) -> f64 {
-        let half_lives = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.average_over(now, share, HALF_LIFE)
+    }
+
+    /// Returns the average at `now` with another half-life of past shares.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lavendergauge_lib::clock::Millis;
+    /// use lavendergauge_lib::fair::Usage;
+    /// let average = Usage::default().average_over(Millis(1000), 1.0, Duration::from_secs(1));
+    /// assert!((average - 0.5).abs() < 1e-9);
+    /// ```
+    pub fn average_over(&self, now: Millis, share: f64, half_life: Duration) -> f64 {
+        let half_lives = now.since(self.at).as_secs_f64() / half_life.as_secs_f64();
         let kept = (-half_lives).exp2();
         self.average * kept + share * (1.0 - kept)
     }
 
     /// Updates the average up to `now`; must be called before the held share changes.
     pub(crate) fn settle(&mut self, now: Millis, share: f64) {
-        self.average = self.average(now, share);
+        self.settle_over(now, share, HALF_LIFE);
+    }
+
+    /// Updates the average up to `now` with another half-life of past shares.
+    pub(crate) fn settle_over(&mut self, now: Millis, share: f64, half_life: Duration) {
+        self.average = self.average_over(now, share, half_life);
         self.at = now;
     }
 }
