shortage: tests of the raise, the deferral and the price of victims

Cause: a trial that disabled each rule in turn showed that no test failed without the raise, the deferral, the price of a caller's credit and the exemption of victims from late jobs. Change: one test for each of them; the former late_job_spares_others is replaced by a stricter one.

--- a/lib/tests/batch_shortage.rs
+++ b/lib/tests/batch_shortage.rs
@@ -9,11 +9,14 @@
 use batch_sim::step;
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::Step;
+use lavendergauge_lib::batch::job::StepInstance;
 use lavendergauge_lib::batch::job::Task;
 use lavendergauge_lib::batch::policy::Policy;
 use lavendergauge_lib::batch::rank;
+use lavendergauge_lib::batch::rank::Candidate;
 use lavendergauge_lib::batch::shortage;
 use lavendergauge_lib::batch::shortage::Class;
+use lavendergauge_lib::batch::shortage::Measure;
 use lavendergauge_lib::clock::Millis;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -95,7 +98,8 @@
         assert!(sim.run_until_ended(90_000));
     });
     let [off, on] = &sims;
-    assert!(most_stops(on, "patient") <= most_stops(off, "patient"));
+    let stops = [off, on].map(|sim| most_stops(sim, "patient"));
+    assert!(stops[1] <= stops[0], "most stops: {stops:?}");
     let (wasted_off, wasted_on) = (off.wasted_ms, on.wasted_ms);
     assert!(wasted_on <= wasted_off, "wasted: {wasted_off} ms off, {wasted_on} ms on");
     let [off, on] = sims.map(|sim| sim.percent_in_objective("urgent"));
@@ -132,7 +136,7 @@
             }
         };
         submit(&mut sim, 12);
-        let old = sim.submit(queue, "ostrava", gang(3, 8, 3000), 3000);
+        let old = sim.submit(queue, "ostrava", vec![step(2, 8, 3000)], 3000);
         let objective = sim.submitted[&old].objective_ms;
         let mut waited = 0;
         while sim.all_started(old).is_none() {
@@ -166,22 +170,83 @@
     assert!(on <= 1000 && on <= off, "the later gang started after {off} ms off, {on} ms on");
 }
 
+/// Fills the fleet with two runs that save checkpoints and have time, and one that ends just in time and
+/// has only begun; returns the job of the latter.
+fn fill_with_tight(sim: &mut Simulation) -> Id {
+    for _ in 0..2 {
+        let patient = Step { checkpoints: true, ..step(1, 8, 20_000) };
+        sim.submit("patient", "ostrava", vec![patient], 20_000);
+    }
+    sim.submit("patient", "ostrava", vec![step(1, 8, 6500)], 6500);
+    sim.run_for(100);
+    let tight = sim.submit("plain", "ostrava", vec![step(1, 8, 3000)], 3000);
+    while sim.all_started(tight).is_none() {
+        sim.run_for(20);
+    }
+    tight
+}
+
+/// Guards against a victim that loses its caller's credit although another one only loses some work.
+#[test]
+fn cheapest_victim() {
+    let sims = play(1, |sim| {
+        let tight = fill_with_tight(sim);
+        sim.run_for(200);
+        let urgent = sim.submit("urgent", "brno", gang(1, 8, 2000), 2000);
+        sim.run_for(1000);
+        assert!(sim.all_started(urgent).is_some_and(|ms| ms <= 600));
+        assert!(sim.run_until_ended(60_000));
+        assert_eq!(tight, Id(4));
+    });
+    let [off, on] = sims.map(|sim| {
+        let tight = &sim.submitted[&Id(4)];
+        tight.ended.is_some_and(|ended| ended <= tight.at + tight.objective_ms)
+    });
+    assert!(!off && on, "in time: {off} off, {on} on");
+}
+
 /// Guards against a late job that makes others late too.
 #[test]
 fn late_job_spares_others() {
     let mut sim = Simulation::new(1);
     sim.tables.policy = ON;
-    sim.submit("urgent", "ostrava", gang(3, 8, 9000), 9000);
-    sim.run_for(200);
-    let late = sim.submit("urgent", "ostrava", gang(2, 8, 500), 500);
-    sim.run_for(8700);
-    for _ in 0..3 {
-        sim.submit("plain", "ostrava", vec![step(1, 8, 9000)], 9000);
+    let tight = fill_with_tight(&mut sim);
+    sim.submit("urgent", "ostrava", gang(1, 8, 2000), 2000);
+    sim.run_for(20);
+    let now = Millis(sim.now);
+    let in_time = rank::candidates(&sim.tables, &[], now).remove(0);
+    let late = Candidate { latest_start: Millis(now.0 - 1), ..in_time.clone() };
+    let price = |candidate: &Candidate| {
+        let urgent = sim.tables.step(candidate.instance).expect("a step");
+        let measure = Measure::of(&sim.tables, now, candidate, urgent, 1);
+        let instance = StepInstance { job: tight, ..candidate.instance };
+        let run = sim.tables.run_of(Task { instance, index: 0 }).expect("a run");
+        measure.price(&sim.tables, sim.tables.step(instance).expect("a step"), run, 2900)
+    };
+    assert!(price(&in_time).is_some_and(|price| 1500 * 64 < price));
+    assert_eq!(price(&late), None);
+}
+
+/// Guards against a large job that makes several small ones late, and against one that is put behind
+/// them although all can be in time.
+#[test]
+fn large_job_deferred() {
+    for (small_jobs, class) in [(1, Class::InTime), (12, Class::Deferred)] {
+        let mut sim = Simulation::new(1);
+        sim.tables.policy = ON;
+        sim.submit("plain", "ostrava", gang(3, 8, 6000), 6000);
+        sim.run_for(100);
+        let large = sim.submit("plain", "ostrava", gang(3, 8, 3000), 3000);
+        sim.run_for(5000);
+        for _ in 0..small_jobs {
+            sim.submit("plain", "ostrava", vec![step(3, 8, 2000)], 2000);
+        }
+        sim.run_for(20);
+        let candidates = rank::candidates(&sim.tables, &[], Millis(sim.now));
+        assert_eq!(candidates.len(), small_jobs + 1);
+        let large = candidates.iter().find(|candidate| candidate.instance.job == large);
+        assert_eq!(large.map(|candidate| candidate.class), Some(class), "{small_jobs} small jobs");
     }
-    assert!(sim.run_until_ended(60_000));
-    assert!(sim.submitted[&late].ended.is_some());
-    assert_eq!(sim.wasted_ms, 0);
-    assert_eq!(sim.percent_in_objective("plain"), 100);
 }
 
 /// Guards against a guarantee that is missed because the victims' callers would lose more.
