shortage: each step that waited beyond its bound is raised in turn

Cause: a raised step that no worker can hold would keep all others from being raised. Change: a raise lapses after 20 s, and the next step in the order of waiting is raised.

--- a/lib/src/batch/shortage.rs
+++ b/lib/src/batch/shortage.rs
@@ -44,6 +44,9 @@
 /// Least time between two steps being raised. It bounds the work that is done without credit while
 /// other work could earn some.
 const RAISE_INTERVAL: Duration = Duration::from_secs(10);
+/// Time after which another step is raised although this one has found no place: its workers may be
+/// gone.
+const RAISE_LIFETIME: Duration = Duration::from_secs(20);
 /// Least time between two log lines about the same matter.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Factor between the weights of two adjacent priorities, as a power of two. No queue has a configured
@@ -160,6 +163,8 @@
     held: SecondaryMap<key::Run, Held>,
     services: Vec<Service>,
     raised: Option<StepInstance>,
+    /// The step that was raised last, and since when it waited.
+    raised_last: Option<(Millis, StepInstance)>,
     raised_at: Option<Millis>,
     summarised_at: Option<Millis>,
     weighed: BTreeMap<StepInstance, Millis>,
@@ -499,7 +504,8 @@
     }
     let waits =
         |instance: StepInstance| candidates.iter().any(|candidate| candidate.instance == instance);
-    if !tables.shortage.raised.is_some_and(waits) {
+    let is_over = tables.shortage.raised_at.is_some_and(|at| RAISE_LIFETIME <= now.since(at));
+    if is_over || !tables.shortage.raised.is_some_and(waits) {
         tables.shortage.raised = None;
     }
     if !tables.shortage.weighed.is_empty() {
@@ -509,7 +515,8 @@
     summarise(&mut tables.shortage, now, candidates, events);
 }
 
-/// Raises the step that has waited longest beyond its bound, unless another one is raised.
+/// Raises the step that has waited longest beyond its bound, unless another one is raised. Those that
+/// waited longer than the one before come last, so that each has its turn.
 fn raise(state: &mut State, now: Millis, candidates: &[Candidate], events: &mut Vec<Event>) {
     let is_due = state.raised_at.is_none_or(|at| RAISE_INTERVAL <= now.since(at));
     if state.raised.is_some() || !is_due {
@@ -518,11 +525,13 @@
     let longest = candidates
         .iter()
         .filter(|candidate| !candidate.guaranteed && raise_after(candidate) <= now)
-        .min_by_key(|candidate| (candidate.since, candidate.instance));
-    let Some(candidate) = longest else { return };
-    state.raised = Some(candidate.instance);
+        .map(|candidate| (candidate.since, candidate.instance))
+        .min_by_key(|waiting| (Some(*waiting) <= state.raised_last, *waiting));
+    let Some((since, instance)) = longest else { return };
+    state.raised = Some(instance);
+    state.raised_last = longest;
     state.raised_at = Some(now);
-    events.push(Event::Raised(candidate.instance, now.since(candidate.since)));
+    events.push(Event::Raised(instance, now.since(since)));
 }
 
 /// Returns when a waiting step may be raised.
