--- a/lib/src/batch/preempt.rs
+++ b/lib/src/batch/preempt.rs
@@ -167,8 +167,10 @@
     fn offer(&mut self, worker: key::Worker) -> Option<Offer> {
         let row = self.tables.workers.get(worker)?;
         let change = self.freed.get(worker).copied().unwrap_or_default();
-        let (mut free, reserved) = if self.tables.policy.shortage {
-            // What ending runs free may be reserved for another step.
+        let policy = self.tables.policy;
+        let (mut free, reserved) = if policy.shortage || policy.worker_trust {
+            // What ending runs free may be reserved for another step, which would otherwise share a
+            // reservation with this one, so that neither is placed before it expires.
             let reserved = self.availability.reserved(worker);
             (row.free().plus(change.freed), reserved.plus(change.taken))
         } else {
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -24,12 +24,15 @@
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
+use crate::batch::learned;
 use crate::batch::pace;
 use crate::batch::policy::Policy;
 use crate::batch::progress::Outcome;
 use crate::batch::rank;
 use crate::batch::share;
 use crate::batch::shortage;
+use crate::batch::speed;
+use crate::batch::trust;
 use crate::clock::Millis;
 use crate::key;
 use crate::resource::Resources;
@@ -157,6 +160,8 @@
     pub measure: u32,
     /// Share of full speed that was ordered last, in percent.
     pub pace_percent: u32,
+    /// Progress at the last sample of its speed.
+    pub pace_mark: Option<speed::Mark>,
 }
 
 impl Run {
@@ -192,6 +197,7 @@
             is_stop_acknowledged: false,
             measure: 0,
             pace_percent: FULL_PACE,
+            pace_mark: None,
         }
     }
 }
@@ -204,6 +210,8 @@
     pub run: u32,
     /// Number of failed runs.
     pub failures: u32,
+    /// When its newest failure was observed; zero under an earlier planner.
+    pub failed_at: Millis,
     /// Number of the newest run that failed.
     pub failed_run: u32,
     /// Whether a run has succeeded.
@@ -351,6 +359,10 @@
     pub unrecorded: BTreeMap<Id, u64>,
     /// Failure history.
     pub health: health::Health,
+    /// What its starts and runs have shown.
+    pub trust: trust::Record,
+    /// What is known about its speed.
+    pub speed: speed::Record,
     /// Gets no new work before this time.
     pub paused_until: Millis,
     /// Number of starts that were refused since one was carried out.
@@ -415,8 +427,14 @@
     pub shortage: shortage::State,
     /// What each client account holds and has used.
     pub shares: share::State,
+    /// Samples of the speed of workers, by step.
+    pub paces: speed::Steps,
     /// Recent arrivals of the most urgent jobs.
     pub urgent_arrivals: headroom::Arrivals,
+    /// Recent failures on all workers.
+    pub trust: trust::State,
+    /// What an earlier leader knew about workers that have not reported yet, by agent.
+    pub learned: BTreeMap<String, learned::Pending>,
     /// Jobs whose record has to be written.
     pub dirty: BTreeSet<Id>,
     /// Jobs that changed since the last tick: their outcome and waiting tasks are to be determined.
@@ -462,7 +480,10 @@
             explained: BTreeMap::new(),
             shortage: shortage::State::default(),
             shares: share::State::default(),
+            paces: speed::Steps::default(),
             urgent_arrivals: headroom::Arrivals::default(),
+            trust: trust::State::default(),
+            learned: BTreeMap::new(),
             dirty: BTreeSet::new(),
             unsettled: BTreeSet::new(),
             active: BTreeSet::new(),
@@ -686,6 +707,8 @@
             acknowledged: 0,
             unrecorded: BTreeMap::new(),
             health: health::Health::default(),
+            trust: trust::Record::default(),
+            speed: speed::Record::default(),
             paused_until: Millis(0),
             refusals: 0,
             pace: None,
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -38,6 +38,7 @@
 use lavendergauge_lib::batch::order::Verb;
 use lavendergauge_lib::batch::progress::Progress;
 use lavendergauge_lib::batch::records;
+use lavendergauge_lib::batch::table;
 use lavendergauge_lib::batch::table::Tables;
 use lavendergauge_lib::batch::tick;
 use lavendergauge_lib::clock::Millis;
@@ -83,8 +84,14 @@
     pub ready: bool,
     /// Whether its runs make no progress.
     pub is_stuck: bool,
+    /// Whether its runs pause: they do no work, which is still to be done afterwards.
+    pub is_paused: bool,
+    /// Time that it takes for the same work, in thousandths of the usual time.
+    pub slow_permille: u64,
     /// Whether every run that it starts fails at once.
     pub fails: bool,
+    /// Start of a run from which on it fails, if the worker fails what it starts.
+    pub fails_since: u64,
     /// Whether answers to orders are lost.
     pub loses_answers: bool,
     /// Whether its agent refuses every start.
@@ -195,7 +202,10 @@
                 reachable: true,
                 ready: true,
                 is_stuck: false,
+                is_paused: false,
+                slow_permille: 1000,
                 fails: false,
+                fails_since: 0,
                 loses_answers: false,
                 refuses: false,
                 is_responsive: true,
@@ -280,7 +290,9 @@
     /// Replaces the planner by another one, which loads what is stored.
     pub fn take_over(&mut self) {
         self.fence += 1;
+        let policy = self.tables.policy;
         self.tables = Tables::new(bounds(), Millis(self.now));
+        self.tables.policy = policy;
         let (now, wall) = (Millis(self.now), self.wall());
         for (id, record) in &self.records {
             records::load_record(&mut self.tables, now, wall, *id, record.clone());
@@ -320,6 +332,9 @@
             let lease_expired = worker.lease_until < now && !worker.runs.is_empty();
             let runs: Vec<Task> = worker.runs.keys().copied().collect();
             for task in runs {
+                if worker.is_paused {
+                    worker.runs.entry(task).and_modify(|run| run.began_at += STEP_MS);
+                }
                 let run = worker.runs[&task].clone();
                 let ending = if lease_expired {
                     Some((Ending::Over, "lapsed"))
@@ -327,7 +342,7 @@
                     Some((Ending::Over, "stopped"))
                 } else if worker.is_stuck || run.stops_at.is_some() {
                     None
-                } else if worker.fails {
+                } else if worker.fails && worker.fails_since <= run.began_at {
                     Some((Ending::Failed, "failed"))
                 } else if run.began_at + run.duration_ms <= now {
                     Some((Ending::Done, "done"))
@@ -417,6 +432,7 @@
                 incarnation,
                 fence: worker.fence,
                 sent_at: self.now,
+                received_at: self.now,
                 running: worker.runs.iter().map(row).collect(),
                 ends: worker.ends.clone(),
             }),
@@ -494,6 +510,7 @@
 
     fn start(&mut self, index: usize, order: &Order) -> Answer {
         let work_ms = self.submitted[&order.task.instance.job].work_ms;
+        let duration_ms = work_ms * self.slowest_permille(index, order.task) / 1000;
         let (now, fence) = (self.now, self.fence);
         let worker = &mut self.workers[index];
         if worker.refuses {
@@ -505,7 +522,7 @@
         if fence < worker.fence {
             return Answer::Refused("fence".into());
         }
-        let run = Run { run: order.run, began_at: now, duration_ms: work_ms, stops_at: None };
+        let run = Run { run: order.run, began_at: now, duration_ms, stops_at: None };
         worker.runs.insert(order.task, run);
         let row = self.tables.nodes.get(&worker.node).map(|key| &self.tables.workers[*key]);
         worker.lease_until = worker.lease_until.max(row.map_or(0, |row| row.grant_until));
@@ -517,6 +534,19 @@
         Answer::Done(now)
     }
 
+    /// Returns the time that a task takes on a worker, in thousandths of the usual time; the members of
+    /// a gang advance together.
+    fn slowest_permille(&self, index: usize, task: Task) -> u64 {
+        let is_gang = self.tables.step(task.instance).is_some_and(|step| step.gang);
+        let of_run = |run: &table::Run| {
+            let node = &self.tables.workers[run.worker].node;
+            self.workers.iter().find(|w| w.node == *node).map_or(0, |w| w.slow_permille)
+        };
+        let is_member = |run: &&table::Run| is_gang && run.task.instance == task.instance;
+        let slowest = self.tables.runs.values().filter(is_member).map(of_run).max().unwrap_or(0);
+        slowest.max(self.workers[index].slow_permille)
+    }
+
     /// Tells whether the success of a task was lost with its worker's memory.
     fn is_end_lost(&self, task: Task) -> bool {
         !self.workers.iter().any(|worker| {
