--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -27,6 +27,8 @@
 pub mod records;
 pub mod refill;
 pub mod reservation;
+pub mod share;
+pub mod shortage;
 pub mod speed;
 pub mod succession;
 pub mod supervise;
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -55,19 +55,12 @@
     /// Returns the free resources of a worker that are not reserved.
     pub fn unreserved(&self, tables: &Tables, worker: key::Worker) -> Resources {
         let free = tables.workers.get(worker).map(Worker::free).unwrap_or_default();
-        free.minus(self.reserved.get(worker).copied().unwrap_or_default())
+        free.minus(self.reserved(worker))
     }
 
-    /// Returns the resources of a worker that are reserved beyond its free ones, for which runs have
-    /// yet to end.
-    ///
-    /// Steps that are held to the same few workers would otherwise reserve the same capacity, and none
-    /// of them is placed before a reservation expires. Without the classes of workers, it is zero.
-    pub fn promised(&self, tables: &Tables, worker: key::Worker) -> Resources {
-        let Some(row) = tables.workers.get(worker).filter(|_| tables.policy.worker_trust) else {
-            return Resources::default();
-        };
-        self.reserved.get(worker).copied().unwrap_or_default().minus(row.free())
+    /// Returns the resources of a worker that are reserved for waiting steps.
+    pub fn reserved(&self, worker: key::Worker) -> Resources {
+        self.reserved.get(worker).copied().unwrap_or_default()
     }
 
     /// Tells whether a task of a step fits on any worker that takes new work.
