admission: digest of the leader's queue and decision at an entry

Entries accept every job, whatever the backlog, since they know nothing of the leader's queue. The digest gives the least time to start by queue, critical path and size; the gate refuses jobs for which that is later than a start can be of any worth, with a margin and hysteresis. Refused records never become jobs. Not connected to the daemon yet.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -6,11 +6,13 @@
 //! start order is sent, and the end of every run is recorded there before its worker may discard
 //! it.
 
+pub mod admission;
 pub mod advice;
 pub mod assign;
 pub mod config;
 pub mod dispatch;
 pub mod event;
+pub mod gate;
 pub mod headroom;
 pub mod health;
 pub mod job;
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -176,9 +176,13 @@
 }
 
 /// Whether the caller wants a job to run.
+///
+/// A record is replaced by one with a later variant only.
 #[token]
 #[derive(Default, Serialize, Deserialize)]
 pub enum Intent {
+    /// The job was refused; it does not run unless it is submitted again.
+    Refused,
     /// The job is to run.
     #[default]
     Wanted,
--- a/lib/src/batch/rank.rs
+++ b/lib/src/batch/rank.rs
@@ -13,7 +13,7 @@
 use crate::clock::Millis;
 
 /// Multiple of its objective after which a job has no value to its caller any more.
-const WORTHLESS_FACTOR: u64 = 3;
+pub const WORTHLESS_FACTOR: u64 = 3;
 /// Estimate for a task whose caller gave none, in milliseconds.
 const UNKNOWN_ESTIMATE_MS: u64 = 5000;
 
--- a/lib/src/batch/records.rs
+++ b/lib/src/batch/records.rs
@@ -13,6 +13,7 @@
 use crate::batch::table;
 use crate::batch::table::Job;
 use crate::batch::table::Phase;
+use crate::batch::table::RefusedRecord;
 use crate::batch::table::Run;
 use crate::batch::table::Tables;
 use crate::batch::table::TaskState;
@@ -21,8 +22,13 @@
 
 /// Applies a job's record as an entry wrote it; of a known job only the caller's intent changes.
 ///
-/// `wall_ms` is the time of day at `now`, in Unix milliseconds.
+/// The record of a refused job is no job, see [`note_refused`]. `wall_ms` is the time of day at `now`,
+/// in Unix milliseconds.
 pub fn load_record(tables: &mut Tables, now: Millis, wall_ms: u64, id: Id, record: Record) {
+    if record.intent == Intent::Refused {
+        return;
+    }
+    tables.refused.remove(&id);
     if let Some(job) = tables.jobs.get_mut(&id) {
         if job.record.intent < record.intent {
             job.record = Arc::new(record);
@@ -186,6 +192,34 @@
     }
 }
 
+/// Notes the stored record of a refused job, whose key last changed at `revision`, so that it is
+/// removed when its time is over. Any other record ends this.
+pub fn note_refused(tables: &mut Tables, id: Id, record: &Record, revision: u64) {
+    if record.intent == Intent::Refused && !tables.jobs.contains_key(&id) {
+        tables.refused.insert(id, RefusedRecord { revision, written_ms: record.accepted_ms });
+    }
+}
+
+/// Takes the refused jobs whose records have been kept long enough, at most `most` of them.
+///
+/// Their keys may be removed only on the condition of the revision: such a job may have been accepted
+/// meanwhile.
+pub fn expire_refused(tables: &mut Tables, wall_ms: u64, most: usize) -> Vec<(Id, RefusedRecord)> {
+    let keep = tables.bounds.keep_ms;
+    let is_expired = |(_, record): &(&Id, &RefusedRecord)| record.written_ms + keep < wall_ms;
+    let expired: Vec<(Id, RefusedRecord)> = tables
+        .refused
+        .iter()
+        .filter(is_expired)
+        .map(|(id, record)| (*id, *record))
+        .take(most)
+        .collect();
+    for (id, _) in &expired {
+        tables.refused.remove(id);
+    }
+    expired
+}
+
 /// Removes jobs that ended longer ago than their state has to be kept, at most `most` of them, and
 /// returns their identifiers.
 pub fn expire(tables: &mut Tables, wall_ms: u64, most: usize) -> Vec<Id> {
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -380,6 +380,15 @@
     pub has_preempted: bool,
 }
 
+/// Stored record of a refused job.
+#[token]
+pub struct RefusedRecord {
+    /// Revision of the last change of its key.
+    pub revision: u64,
+    /// When it was written, in Unix milliseconds.
+    pub written_ms: u64,
+}
+
 /// All tables of the planner.
 #[row]
 pub struct Tables {
@@ -393,6 +402,8 @@
     pub evacuated: BTreeSet<String>,
     /// Jobs.
     pub jobs: BTreeMap<Id, Job>,
+    /// Stored records of refused jobs, which are no jobs.
+    pub refused: BTreeMap<Id, RefusedRecord>,
     /// Runs that may exist.
     pub runs: SlotMap<key::Run, Run>,
     /// Workers.
@@ -446,6 +457,7 @@
             policy: Policy::default(),
             evacuated: BTreeSet::new(),
             jobs: BTreeMap::new(),
+            refused: BTreeMap::new(),
             runs: SlotMap::with_key(),
             workers: SlotMap::with_key(),
             nodes: HashMap::new(),
