--- a/lib/tests/batch_admission.rs
+++ b/lib/tests/batch_admission.rs
@@ -64,13 +64,6 @@
     for tick in 0..200_u64 {
         if tick % 10 == 0 {
             let digest = digest_of(&sim, tick + 1);
-                let sub = submission(vec![Step { gang: true, ..step(n, 1, 2200) }]);
-                eprintln!(
-                    "{tick} n={n} {:?} waiting {}",
-                    admission::prospect(&digest, &urgent, &sub.steps),
-                    sim.tables.waiting.len()
-                );
-            }
             // One entry after the other gets it, and has an old one till then.
             gates[tick as usize / 10 % ENTRIES].receive(digest, Millis(sim.now));
         }
