--- a/daemon/src/batch.rs
+++ b/daemon/src/batch.rs
@@ -2,6 +2,7 @@
 //!
 //! State that must survive a restart is kept in the platform's store; see docs/design/platform.md.
 
+pub mod admission;
 pub mod advise;
 pub mod agent;
 pub mod agent_order;
--- a/daemon/src/batch/entry.rs
+++ b/daemon/src/batch/entry.rs
@@ -19,6 +19,7 @@
 use tokio::time;
 
 use crate::access;
+use crate::batch::admission::Admission;
 use crate::batch::config_view;
 use crate::batch::config_view::View;
 use crate::batch::forward;
@@ -28,6 +29,7 @@
 use crate::batch::message;
 use crate::batch::message::Forward;
 use crate::batch::message::LeadershipOffer;
+use crate::batch::message::NoticeReply;
 use crate::batch::message::PresencePoll;
 use crate::batch::message::Query;
 use crate::batch::message::RecordNotice;
@@ -71,6 +73,8 @@
     pub config_view: Arc<View>,
     /// The other entries that are known to be alive.
     pub roster: Roster,
+    /// What is known of the leader's queue.
+    pub admission: Admission,
     /// The leader, as last read; `None` while none is known.
     pub leader: watch::Sender<Option<Leader>>,
     /// Whether the process is stopping.
@@ -154,6 +158,7 @@
         client: peer::client(&settings.access.fleet_key),
         config_view: Arc::default(),
         roster: Roster::default(),
+        admission: Admission::default(),
         leader: watch::Sender::new(None),
         stopping: watch::Sender::new(false),
         planner: Mutex::new(None),
@@ -193,6 +198,7 @@
 
 async fn on_call(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
     if request.uri().path() == telemetry::PATH {
+        entry.admission.set_gauge();
         return telemetry::scrape();
     }
     if !access::is_from_fleet(&entry.access, request.headers()) {
@@ -201,10 +207,9 @@
     match request.uri().path() {
         message::NOTICE => match peer::read::<RecordNotice>(request).await {
             Ok(notice) => {
-                if let Some(planner) = entry.planner() {
-                    planner.load_record(notice.id, notice.record);
-                }
-                peer::status(StatusCode::OK)
+                let Some(planner) = entry.planner() else { return peer::status(StatusCode::OK) };
+                planner.load_record(notice.id, notice.record);
+                peer::answer(&NoticeReply { digest: planner.publisher.dated() })
             }
             Err(refusal) => refusal,
         },
--- a/daemon/src/batch/follow.rs
+++ b/daemon/src/batch/follow.rs
@@ -12,6 +12,7 @@
 use lavendergauge_lib::batch::observe::Report;
 use lavendergauge_lib::batch::order::Order;
 use lavendergauge_lib::batch::order::Verb;
+use lavendergauge_lib::batch::records;
 use lavendergauge_net::client;
 use lavendergauge_platform::store::Event;
 use lavendergauge_platform::store::Item;
@@ -66,6 +67,7 @@
 
 fn load_item(planner: &Planner, item: &Item) {
     if let Some((id, record)) = planner::decode::<Record>(keys::JOBS, item) {
+        records::note_refused(&mut planner.tables(), id, &record, item.revision);
         planner.load_record(id, record);
     }
 }
--- a/daemon/src/batch/forward.rs
+++ b/daemon/src/batch/forward.rs
@@ -88,11 +88,11 @@
 /// Tells whether another entry's answer is final, given why the call was forwarded.
 ///
 /// While this entry's write is in doubt, another entry's refusal does not prove that nothing was
-/// written. A status of 410 (no such job) is final all the same, since it answers a cancellation.
+/// written. One with status 429 does: its record keeps all earlier writes from taking effect. A status of 410 (no such job) is final all the same, since it answers a cancellation.
 fn is_final(status: u16, refusal: Refusal) -> bool {
     match status {
-        200..300 | 410 => true,
-        429 | 502..=504 => false,
+        200..300 | 410 | 429 => true,
+        502..=504 => false,
         _ => refusal != Refusal::InDoubt,
     }
 }
--- a/daemon/src/batch/in_doubt.rs
+++ b/daemon/src/batch/in_doubt.rs
@@ -46,6 +46,11 @@
         Ok(())
     }
 
+    /// Tells whether an attempt has failed.
+    pub fn has_failed(&self) -> bool {
+        self.first_failure.is_some()
+    }
+
     /// Ends the retries when the deadline has passed, or when another entry should try instead.
     ///
     /// # Errors
--- a/daemon/src/batch/ingress.rs
+++ b/daemon/src/batch/ingress.rs
@@ -15,6 +15,7 @@
 use hyper::header::AUTHORIZATION;
 use hyper::header::HOST;
 use lavendergauge_lib::batch::config::Queue;
+use lavendergauge_lib::batch::gate::Newcomer;
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::Intent;
 use lavendergauge_lib::batch::job::Record;
@@ -35,12 +36,14 @@
 use metrics::histogram;
 use tokio::time;
 
+use crate::batch::admission;
 use crate::batch::entry::Entry;
 use crate::batch::forward;
 use crate::batch::in_doubt::InDoubt;
 use crate::batch::keys;
 use crate::batch::message;
 use crate::batch::message::Forwarded;
+use crate::batch::message::NoticeReply;
 use crate::batch::message::Query;
 use crate::batch::message::RecordNotice;
 use crate::batch::message::Reply;
@@ -69,6 +72,8 @@
 const PLANNER_DEADLINE: Duration = Duration::from_millis(400);
 /// Deadline of the notice of a job's record to the planner, whose watch covers for a lost notice.
 const NOTICE_DEADLINE: Duration = Duration::from_millis(800);
+/// Time after which a caller may submit a job again that a later call of it was refused, in seconds.
+const RETRY_SUPERSEDED_S: u32 = 1;
 /// Age of the configuration from which it is read again before a key or queue is refused.
 const FRESH: Duration = Duration::from_millis(100);
 /// Longest age at which the configuration is trusted, as a percentage of the time within which a
@@ -93,6 +98,8 @@
 struct Admitted {
     queue: Queue,
     account: String,
+    /// Accelerators that are guaranteed to the account.
+    guaranteed: u32,
     revision: u64,
     /// The path after the queue's prefix: a job's identifier, or empty.
     path_rest: String,
@@ -277,6 +284,7 @@
     Ok(Admitted {
         queue: queue.clone(),
         account: account.map_or_else(String::new, |account| account.name.clone()),
+        guaranteed: account.map_or(0, |account| account.guaranteed),
         revision: view.revision,
         path_rest: call.path[queue.prefix.len()..].to_owned(),
     })
@@ -311,6 +319,23 @@
     id: Id,
     submission: Submission,
 ) -> Result<Success, Refusal> {
+    let newcomer = Newcomer {
+        id,
+        queue: &admitted.queue,
+        guaranteed: admitted.guaranteed,
+        submission: &submission,
+    };
+    if let Some(refused) = admission::decide(entry, &newcomer) {
+        match write_refused(entry, call, &admitted, id).await? {
+            Written::Refused => {
+                entry.admission.record_refusal(id);
+                admission::log_refused(id, &admitted.queue.name, &admitted.account, &refused);
+                return Err(Refusal::Overloaded { retry_after_s: refused.retry_after_s });
+            }
+            Written::Accepted => return Ok(Success::Accepted),
+            Written::Cancelled => {}
+        }
+    }
     let mut record = Record {
         submission,
         queue: admitted.queue.clone(),
@@ -320,13 +345,14 @@
     };
     let mut in_doubt = InDoubt::default();
     // Revision of the record to replace, 0 for none: the record of a cancellation that came before
-    // the job is replaced by the job, marked as cancelled.
+    // the job is replaced by the job, marked as cancelled, and that of a refusal by the job.
     let mut revision = 0;
     loop {
         let outcome = write(entry, call, id, revision, admitted.revision, &record).await;
         match outcome {
             Ok(CommitOutcome::Done(_)) => {
                 in_doubt.log_resolved(id);
+                entry.admission.record_acceptance(id);
                 notify(entry, id, record);
                 return Ok(Success::Accepted);
             }
@@ -335,14 +361,29 @@
                     let Some((_, known)) = planner::decode::<Record>(keys::JOBS, &item) else {
                         return Err(Refusal::NotStored);
                     };
-                    if known.intent != Intent::Unknown {
+                    if known.intent == Intent::Refused {
+                        check_owner(&admitted, &known.account)?;
+                        // A refusal that may be later than this call has been told to the caller.
+                        let is_known = item.revision == revision;
+                        if !is_known && (revision != 0 || in_doubt.has_failed()) {
+                            return match write_refused(entry, call, &admitted, id).await? {
+                                Written::Refused => {
+                                    Err(Refusal::Overloaded { retry_after_s: RETRY_SUPERSEDED_S })
+                                }
+                                Written::Accepted => Ok(Success::Accepted),
+                                Written::Cancelled => Err(Refusal::InDoubt),
+                            };
+                        }
+                    } else if known.intent != Intent::Unknown {
                         check_owner(&admitted, &known.account)?;
                         in_doubt.log_resolved(id);
                         notify(entry, id, known);
                         return Ok(Success::Accepted);
                     }
                     revision = item.revision;
-                    record.intent = Intent::Cancelled;
+                    if known.intent == Intent::Unknown {
+                        record.intent = Intent::Cancelled;
+                    }
                 }
                 admitted = find_queue(entry, call)?;
                 record.queue = admitted.queue.clone();
@@ -355,6 +396,73 @@
     }
 }
 
+/// Result of the write of a refusal.
+enum Written {
+    /// The job is refused: no earlier write of it can take effect any more.
+    Refused,
+    /// The job is accepted already.
+    Accepted,
+    /// The job was cancelled before, so that it never runs.
+    Cancelled,
+}
+
+/// Writes the record of a refused job.
+///
+/// It replaces that of an earlier refusal, so that every write that is conditional on that one's
+/// revision fails too.
+///
+/// # Errors
+/// The refusal for the caller when the store does not answer or refuses.
+async fn write_refused(
+    entry: &Arc<Entry>,
+    call: &Call,
+    admitted: &Admitted,
+    id: Id,
+) -> Result<Written, Refusal> {
+    let mut record = Record {
+        submission: Submission::default(),
+        queue: admitted.queue.clone(),
+        account: admitted.account.clone(),
+        accepted_ms: clock::wall_ms(),
+        intent: Intent::Refused,
+    };
+    let mut config = admitted.revision;
+    let mut in_doubt = InDoubt::default();
+    let mut revision = 0;
+    loop {
+        match write(entry, call, id, revision, config, &record).await {
+            Ok(CommitOutcome::Done(_)) => {
+                in_doubt.log_resolved(id);
+                return Ok(Written::Refused);
+            }
+            Ok(CommitOutcome::Conflict(items)) => {
+                if let Some(item) = apply_conflict(entry, id, items) {
+                    let Some((_, known)) = planner::decode::<Record>(keys::JOBS, &item) else {
+                        return Err(Refusal::NotStored);
+                    };
+                    check_owner(admitted, &known.account)?;
+                    match known.intent {
+                        Intent::Refused => revision = item.revision,
+                        Intent::Unknown => return Ok(Written::Cancelled),
+                        Intent::Wanted | Intent::Cancelled => {
+                            in_doubt.log_resolved(id);
+                            notify(entry, id, known);
+                            return Ok(Written::Accepted);
+                        }
+                    }
+                }
+                let admitted = find_queue(entry, call)?;
+                config = admitted.revision;
+                record.queue = admitted.queue;
+                record.account = admitted.account;
+            }
+            Ok(CommitOutcome::NoLease) => return Err(Refusal::NotStored),
+            Err(error) => in_doubt.record_failure(id, error).await?,
+        }
+        in_doubt.check(id, call.deadline)?;
+    }
+}
+
 /// Writes a job's record, if the configuration is still the one that the call was admitted with.
 async fn write(
     entry: &Entry,
@@ -389,12 +497,20 @@
             .uri(format!("http://{}{}", leader.address, message::NOTICE))
             .body(body::full(bytes));
         let Ok(request) = request else { return };
-        if let Err(error) = entry.client.fetch(request, NOTICE_DEADLINE).await {
-            log::info!(
+        let sent_at = clock::boot();
+        match entry.client.fetch(request, NOTICE_DEADLINE).await {
+            Ok(answer) => {
+                // An earlier version answers with an empty body.
+                let reply = codec::unpack::<NoticeReply>(answer.body()).unwrap_or_default();
+                if let Some(digest) = reply.digest {
+                    entry.admission.receive(digest, sent_at, 0);
+                }
+            }
+            Err(error) => log::info!(
                 "event=notice-lost job={id} planner={} cause={}",
                 leader.name,
                 Value(&error.to_string())
-            );
+            ),
         }
     });
 }
@@ -432,7 +548,9 @@
         Some(Reply::Job { state, account, .. }) => (state, account),
         _ => loop {
             match planner::state_from_store(entry, id, store_deadline(call)).await {
-                Ok(Some((_, record))) if record.intent == Intent::Unknown => {
+                Ok(Some((_, record)))
+                    if matches!(record.intent, Intent::Unknown | Intent::Refused) =>
+                {
                     return Err(Refusal::NoJob);
                 }
                 Ok(Some((state, record))) => break (state, record.account),
@@ -531,6 +649,8 @@
             }
             match record.intent {
                 Intent::Unknown => return Ok(Cancellation::Unknown),
+                // Like a job without a record: no later submission of it runs.
+                Intent::Refused => record.intent = Intent::Unknown,
                 Intent::Cancelled => return Ok(Cancellation::Done(record)),
                 Intent::Wanted => record.intent = Intent::Cancelled,
             }
@@ -538,7 +658,7 @@
         }
     };
     match write(entry, call, id, revision, admitted.revision, &record).await? {
-        CommitOutcome::Done(_) if revision == 0 => Ok(Cancellation::Unknown),
+        CommitOutcome::Done(_) if record.intent == Intent::Unknown => Ok(Cancellation::Unknown),
         CommitOutcome::Done(_) => Ok(Cancellation::Done(record)),
         CommitOutcome::Conflict(items) => Ok(Cancellation::Changed(items)),
         CommitOutcome::NoLease => Ok(Cancellation::Refused(Refusal::NotStored)),
--- a/daemon/src/batch/message.rs
+++ b/daemon/src/batch/message.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use lavendergauge_derive::value;
+use lavendergauge_lib::batch::admission::Digest;
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::Record;
 use lavendergauge_lib::batch::job::State;
@@ -17,7 +18,7 @@
 pub const ORDERS: &str = "/batch/orders";
 /// Path at an agent: [`AdviceRequest`], answered by [`AdviceReply`].
 pub const ADVISE: &str = "/batch/advise";
-/// Path at the planner's entry: [`RecordNotice`], answered by a status alone.
+/// Path at the planner's entry: [`RecordNotice`], answered by [`NoticeReply`].
 pub const NOTICE: &str = "/batch/notice";
 /// Path at the planner's entry: [`Query`], answered by [`Reply`].
 pub const QUERY: &str = "/batch/query";
@@ -115,6 +116,35 @@
     pub record: Record,
 }
 
+/// Answer to a [`RecordNotice`]; an entry of an earlier version answers with an empty body.
+#[value]
+#[derive(Default, Serialize, Deserialize)]
+pub struct NoticeReply {
+    /// The newest digest of the planner's queue.
+    #[serde(default)]
+    pub digest: Option<DatedDigest>,
+}
+
+/// A digest of the planner's queue, and its age when it was sent.
+#[value]
+#[derive(Serialize, Deserialize)]
+pub struct DatedDigest {
+    /// The digest.
+    pub digest: Digest,
+    /// Time since it was computed, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// The leader's term and number of a digest; zeros for none.
+#[value]
+#[derive(Copy, Default, Serialize, Deserialize)]
+pub struct DigestNumber {
+    /// Fencing token of the leader.
+    pub fence: u64,
+    /// Number within the term.
+    pub number: u64,
+}
+
 /// Query of an entry to the planner.
 #[value]
 #[derive(Serialize, Deserialize)]
@@ -159,6 +189,9 @@
     pub strength: u32,
     /// The entries that the sender knows to be present.
     pub known: Vec<Presence>,
+    /// The digest that the sender has; `None` for a sender that uses none.
+    #[serde(default)]
+    pub digest: Option<DigestNumber>,
 }
 
 /// An entry that is present.
@@ -179,6 +212,17 @@
     Entries(Vec<Presence>),
     /// The polled entry does not run the planner.
     NotPlanner,
+    /// The entries that poll the planner, and the digest of its queue, for senders that use it.
+    Report {
+        /// The entries.
+        entries: Vec<Presence>,
+        /// The newest digest.
+        #[serde(default)]
+        digest: Option<DatedDigest>,
+        /// Time for which the answer was delayed, in milliseconds.
+        #[serde(default)]
+        held_ms: u64,
+    },
 }
 
 /// Offer of leadership to another entry, from a leader that cannot renew its lease.
--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -35,6 +35,8 @@
 use tokio::task::JoinSet;
 use tokio::time;
 
+use crate::batch::admission;
+use crate::batch::admission::Publisher;
 use crate::batch::advise;
 use crate::batch::entry::Entry;
 use crate::batch::follow;
@@ -79,6 +81,8 @@
     pub agents: Mutex<HashMap<String, String>>,
     /// Names of the agents through which a query to the advice service is in progress.
     busy_agents: Mutex<BTreeSet<String>>,
+    /// The digests of the queue.
+    pub publisher: Publisher,
     /// Client for calls to agents.
     pub client: Client,
     name: String,
@@ -162,6 +166,7 @@
         dirty: Notify::new(),
         agents: Mutex::new(HashMap::new()),
         busy_agents: Mutex::new(BTreeSet::new()),
+        publisher: Publisher::default(),
         client: entry.client.clone(),
         name: entry.name.clone(),
         tables: Mutex::new(tables),
@@ -181,6 +186,7 @@
     tasks.spawn(follow::jobs(entry.clone(), planner.clone(), revision));
     tasks.spawn(follow::agents(entry.clone(), planner.clone(), term.clone()));
     tasks.spawn(maintenance::run(entry.clone(), planner.clone(), term.clone()));
+    tasks.spawn(admission::expire(entry.clone(), planner.clone(), term.clone()));
     tasks.spawn(run_ticks(entry.clone(), planner.clone(), term.clone()));
     record_writer::run(entry, &planner, term).await
 }
@@ -193,6 +199,7 @@
     let mut tables = planner.tables();
     for item in &jobs {
         if let Some((id, record)) = decode::<Record>(keys::JOBS, item) {
+            records::note_refused(&mut tables, id, &record, item.revision);
             records::load_record(&mut tables, now, wall_ms, id, record);
         }
     }
@@ -240,6 +247,7 @@
         let (dispatches, questions) = run_tick(&entry, &planner);
         send(&planner, &term, dispatches);
         advise::send(&planner, &term, questions);
+        admission::refresh(&entry, &planner);
         let duration = started_at.elapsed();
         histogram!("lavendergauge_tick_seconds").record(duration.as_secs_f64());
         let rest = rest_after(duration);
--- a/daemon/src/batch/refusal.rs
+++ b/daemon/src/batch/refusal.rs
@@ -41,6 +41,11 @@
     InDoubt,
     /// Neither the planner nor the store answered.
     Unanswered,
+    /// The job cannot start in time; a record keeps earlier attempts from taking effect.
+    Overloaded {
+        /// Time after which the caller may retry, in seconds.
+        retry_after_s: u32,
+    },
 }
 
 impl Refusal {
@@ -63,6 +68,7 @@
             Refusal::Method => StatusCode::METHOD_NOT_ALLOWED,
             Refusal::NoJob => StatusCode::GONE,
             Refusal::InDoubt => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::Overloaded { .. } => StatusCode::TOO_MANY_REQUESTS,
         }
     }
 
@@ -85,6 +91,7 @@
             Refusal::NotStored => "not accepted: the store refused",
             Refusal::InDoubt => "in doubt: repeat the call with the same job",
             Refusal::Unanswered => "the job's state cannot be read now",
+            Refusal::Overloaded { .. } => "not accepted: the job could not start in time",
         }
     }
 
@@ -98,6 +105,7 @@
         match self {
             Refusal::Unready | Refusal::Unanswered | Refusal::InDoubt => Some(RETRY_UNREADY_S),
             Refusal::NotStored => Some(RETRY_STORE_S),
+            Refusal::Overloaded { retry_after_s } => Some(retry_after_s),
             _ => None,
         }
     }
--- a/daemon/src/batch/roster.rs
+++ b/daemon/src/batch/roster.rs
@@ -117,21 +117,34 @@
 /// Answers a presence poll.
 ///
 /// The answer is sent at once when the sender's list of entries differs, else when the list changes
-/// or the longest wait is over.
+/// or the longest wait is over; also when a digest changes the decisions of a sender that uses it.
 pub async fn on_presence_poll(entry: &Entry, poll: PresencePoll) -> PresenceReply {
-    if entry.planner().is_none() {
-        return PresenceReply::NotPlanner;
-    }
+    let Some(planner) = entry.planner() else { return PresenceReply::NotPlanner };
+    let received_at = clock::boot();
     entry.roster.mark_present(&poll.address, poll.strength);
     let mut version = entry.roster.version.subscribe();
+    let mut digests = planner.publisher.subscribe();
     let until = time::Instant::now() + PRESENCE_WAIT;
     loop {
         version.borrow_and_update();
+        digests.borrow_and_update();
         let entries = entry.roster.present();
-        if entries != poll.known || until <= time::Instant::now() {
-            return PresenceReply::Entries(entries);
+        let has_news = poll.digest.is_some_and(|known| planner.publisher.has_news_for(known));
+        if entries != poll.known || has_news || until <= time::Instant::now() {
+            if poll.digest.is_none() {
+                return PresenceReply::Entries(entries);
+            }
+            return PresenceReply::Report {
+                entries,
+                digest: planner.publisher.dated(),
+                held_ms: clock::boot().since(received_at).as_millis() as u64,
+            };
+        }
+        tokio::select! {
+            _ = version.changed() => {}
+            _ = digests.changed(), if poll.digest.is_some() => {}
+            () = time::sleep_until(until) => {}
         }
-        let _ = time::timeout_at(until, version.changed()).await;
         if entry.planner().is_none() {
             return PresenceReply::NotPlanner;
         }
@@ -150,7 +163,9 @@
             address: entry.settings.advertised_address.clone(),
             strength: entry.settings.strength.0,
             known: lock(&entry.roster.received).clone(),
+            digest: entry.settings.policy.admission.then(|| entry.admission.known()),
         };
+        let sent_at = clock::boot();
         let deadline = PRESENCE_WAIT + PRESENCE_SLACK;
         let reply = entry
             .client
@@ -163,6 +178,12 @@
             .await;
         match reply {
             Ok(PresenceReply::Entries(entries)) => *lock(&entry.roster.received) = entries,
+            Ok(PresenceReply::Report { entries, digest, held_ms }) => {
+                *lock(&entry.roster.received) = entries;
+                if let Some(digest) = digest {
+                    entry.admission.receive(digest, sent_at, held_ms);
+                }
+            }
             Ok(PresenceReply::NotPlanner) => time::sleep(PAUSE).await,
             Err(error) => {
                 log::info!(
