--- a/lib/src/batch/admission.rs
+++ b/lib/src/batch/admission.rs
@@ -25,12 +25,12 @@
 use crate::resource::Resources;
 
 /// Time to which starts are simulated, in milliseconds. No start is announced to be later.
-pub const HORIZON_MS: u64 = 240_000;
+const HORIZON_MS: u64 = 240_000;
 /// Sizes for which times to start are announced, in thousandths of a service's capacity.
 const SIZES_PERMILLE: [u32; 9] = [1, 5, 10, 20, 50, 100, 200, 350, 500];
 /// Critical paths of jobs for which times to start are announced, in milliseconds. A job with a longer
 /// one has more time, and ranks behind more of the waiting work.
-const CRITICAL_PATHS_MS: [u64; 6] = [0, 1000, 2000, 4000, 8000, 16_000];
+const CRITICAL_PATHS_MS: [u64; 4] = [0, 2000, 6000, 16_000];
 /// Time since a worker's newest list for which it counts as capacity, in milliseconds: a leader that
 /// does not reach its workers for a moment must not conclude that there are none.
 const CAPACITY_SILENCE_MS: u64 = 10_000;
@@ -173,18 +173,11 @@
     capacity: Resources,
     free: Resources,
     rooms: BTreeMap<u32, Room>,
-    releases: Vec<Release>,
+    /// Resources that runs release, by the priority of their queue and the time.
+    releases: BTreeMap<(u32, u64), Resources>,
     waiting: Vec<Waiting>,
 }
 
-/// Capacity that a run releases.
-#[row]
-struct Release {
-    at_ms: u64,
-    demand: Resources,
-    priority: u32,
-}
-
 /// A waiting step, in the order of rank.
 #[row]
 struct Waiting {
@@ -253,11 +246,9 @@
             if step.long_running && !matches!(run.phase, Phase::Stopping(_)) {
                 continue;
             }
-            service.releases.push(Release {
-                at_ms: remaining_ms(run, expected, now),
-                demand: run.demand,
-                priority: job.queue.priority,
-            });
+            let key = (job.queue.priority, rounded(remaining_ms(run, expected, now)));
+            let sum = service.releases.entry(key).or_default();
+            *sum = sum.plus(run.demand);
         }
     }
     for Candidate { instance, guaranteed, priority, is_worthless, latest_start, waiting, .. } in
@@ -388,15 +379,33 @@
                 && row.latest_start <= latest_start
     };
     let ahead: Vec<&Waiting> = service.waiting.iter().filter(is_ahead).collect();
-    let [mut strict, overtaking] = [usize::MIN, MAX_OVERTAKING]
-        .map(|overtaking| simulate(service, &ahead, queue.priority, overtaking));
-    for (known, other) in strict.iter_mut().flatten().zip(overtaking.iter().flatten()) {
-        *known = (*known).min(*other);
+    let mut starts = simulate(service, &ahead, queue.priority, 0);
+    for (row, dimension) in starts.iter_mut().zip([Dimension::Accelerators, Dimension::Processors])
+    {
+        let is_sized = |row: &Waiting| Dimension::of(row.unit) == Some(dimension);
+        if !service.waiting.iter().any(is_sized) {
+            // There is no evidence for steps of this kind.
+            *row = Default::default();
+            continue;
+        }
+        for (size, start) in row.iter_mut().enumerate() {
+            // Larger steps may find no place in fragments of capacity that hold a small one.
+            let amount = amount_of(service.capacity, dimension, SIZES_PERMILLE[size]);
+            let is_no_larger = |row: &&&Waiting| u64::from(dimension.amount(row.unit)) <= amount;
+            let rivals: Vec<&Waiting> = ahead.iter().filter(is_no_larger).copied().collect();
+            let overtaking = simulate(service, &rivals, queue.priority, MAX_OVERTAKING);
+            *start = (*start).min(overtaking[dimension as usize][size]);
+        }
     }
-    let [by_accelerators, by_processors] = strict.map(Vec::from);
+    let [by_accelerators, by_processors] = starts.map(Vec::from);
     Start { critical_path_ms, by_accelerators, by_processors }
 }
 
+/// Returns the amount of a size: a share of a capacity, at least one.
+fn amount_of(capacity: Resources, dimension: Dimension, permille: u32) -> u64 {
+    (u64::from(dimension.amount(capacity)) * u64::from(permille) / 1000).max(1)
+}
+
 /// Simulates the service as one pool of capacity; returns when there is room for a step of each size,
 /// by dimension, after the steps `ahead` have taken theirs.
 ///
@@ -411,11 +420,11 @@
     let mut starts = [[HORIZON_MS; SIZES_PERMILLE.len()]; 2];
     let mut releases: BTreeMap<u64, Resources> = BTreeMap::new();
     let mut free = service.free;
-    for row in &service.releases {
-        if priority < row.priority {
-            free = free.plus(row.demand);
+    for ((of_priority, at_ms), demand) in &service.releases {
+        if priority < *of_priority {
+            free = free.plus(*demand);
         } else {
-            release(&mut releases, row.at_ms, row.demand);
+            release(&mut releases, *at_ms, *demand);
         }
     }
     let mut waiting: Vec<(&Waiting, u32)> = ahead.iter().map(|row| (*row, row.units)).collect();
@@ -448,13 +457,17 @@
     starts
 }
 
-/// Schedules a release; that of a long run somewhat earlier, so that the simulation has fewer steps.
+/// Schedules a release.
 fn release(releases: &mut BTreeMap<u64, Resources>, at_ms: u64, demand: Resources) {
-    let at_ms = if at_ms < PRECISION_MS * 10 { at_ms } else { at_ms / PRECISION_MS * PRECISION_MS };
-    let sum = releases.entry(at_ms).or_default();
+    let sum = releases.entry(rounded(at_ms)).or_default();
     *sum = sum.plus(demand);
 }
 
+/// Rounds the time of a release down, unless it is near, so that the simulation has fewer steps.
+fn rounded(at_ms: u64) -> u64 {
+    if at_ms < PRECISION_MS * 10 { at_ms } else { at_ms / PRECISION_MS * PRECISION_MS }
+}
+
 /// Notes the time for the sizes for which there is room.
 fn note_room(
     starts: &mut [[u64; SIZES_PERMILLE.len()]; 2],
@@ -464,9 +477,8 @@
 ) {
     for (row, dimension) in starts.iter_mut().zip([Dimension::Accelerators, Dimension::Processors])
     {
-        let capacity = u64::from(dimension.amount(capacity));
         for (start, size) in row.iter_mut().zip(SIZES_PERMILLE) {
-            let needed = (capacity * u64::from(size) / 1000).max(1);
+            let needed = amount_of(capacity, dimension, size);
             if *start == HORIZON_MS && needed <= u64::from(dimension.amount(free)) {
                 *start = at;
             }
@@ -511,10 +523,8 @@
         processors: pool.processors,
         ..Resources::default()
     };
-    let capacity = u64::from(dimension.amount(capacity));
-    let is_smaller = |size: &u32| {
-        (capacity * u64::from(*size) / 1000).max(1) <= u64::from(dimension.amount(need))
-    };
+    let is_smaller =
+        |size: &u32| amount_of(capacity, dimension, *size) <= u64::from(dimension.amount(need));
     let size = SIZES_PERMILLE.iter().rposition(is_smaller)?;
     let start = outlook.starts.iter().rfind(|row| row.critical_path_ms <= critical_path_ms)?;
     let row = match dimension {
--- a/lib/src/batch/gate.rs
+++ b/lib/src/batch/gate.rs
@@ -16,18 +16,20 @@
 use crate::batch::admission::Prospect;
 use crate::batch::config::Queue;
 use crate::batch::job::Id;
+use crate::batch::job::Step;
 use crate::batch::job::Submission;
 use crate::batch::rank;
 use crate::clock::Millis;
 
 /// Age from which a digest decides nothing: two presence polls and a slow answer.
 const MAX_AGE: Duration = Duration::from_secs(4);
-/// Times to start at which jobs of a class begin to be refused and are accepted again, in percent of
-/// the time after which a start is worthless. The distance from 100 covers the estimates, of which the
-/// progress of running work shows the error of a queue but not that of single jobs. The distance
-/// between the two keeps entries with different digests from alternating.
-const BEGIN_PERCENT: u64 = 150;
-const END_PERCENT: u64 = 125;
+/// Time to start from which jobs of a class are refused, in percent of the time after which a start is
+/// worthless. Callers' estimates are wrong by a half and more, which moves both times; at 150 percent,
+/// some of the refused jobs would have been in time.
+const BEGIN_PERCENT: u64 = 200;
+/// Time to start below which jobs of a class that was refused are accepted again, in percent. The distance
+/// from [`BEGIN_PERCENT`] keeps entries with different digests from alternating.
+const END_PERCENT: u64 = 160;
 /// Time after its last refusal for which a class counts as refused.
 const LINGER: Duration = Duration::from_secs(5);
 /// Refusals of one job in a row, after which it is accepted.
@@ -212,7 +214,7 @@
 
 /// Returns the number of accelerators that a job needs at a time.
 fn accelerators_needed(submission: &Submission) -> u32 {
-    let needed = |step: &crate::batch::job::Step| step.accelerators.saturating_mul(step.tasks);
+    let needed = |step: &Step| step.accelerators.saturating_mul(step.tasks);
     submission.steps.iter().map(needed).max().unwrap_or(0)
 }
 
