--- a/lib/src/batch/admission.rs
+++ b/lib/src/batch/admission.rs
@@ -325,6 +325,16 @@
 }
 
 /// Computes a digest.
+///
+/// ```
+/// use lavendergauge_lib::batch::admission;
+/// use lavendergauge_lib::batch::config::Bounds;
+/// use lavendergauge_lib::batch::table::Tables;
+/// use lavendergauge_lib::clock::Millis;
+/// let bounds = Bounds { stop_grace_ms: 400, remote_permille: 3000, reclaim_ms: 2900, keep_ms: 120_000 };
+/// let survey = admission::survey(&Tables::new(bounds, Millis(0)), Millis(60_000)).unwrap();
+/// assert!(admission::digest(&survey, 1, 1).outlooks.is_empty(), "nothing waits");
+/// ```
 pub fn digest(survey: &Survey, fence: u64, number: u64) -> Digest {
     let mut digest = Digest { fence, number, ..Digest::default() };
     for (name, service) in survey.services.iter().filter(|(_, service)| !service.waiting.is_empty())
@@ -560,6 +570,13 @@
 
 /// Returns what a digest says about a job of a queue; `None` if it says nothing, or if there is room
 /// for a first step of the job.
+///
+/// ```
+/// use lavendergauge_lib::batch::admission;
+/// use lavendergauge_lib::batch::admission::Digest;
+/// use lavendergauge_lib::batch::config::Queue;
+/// assert_eq!(admission::prospect(&Digest::default(), &Queue::default(), &[]), None);
+/// ```
 pub fn prospect(digest: &Digest, queue: &Queue, steps: &[Step]) -> Option<Prospect> {
     let outlook = digest.outlooks.iter().find(|outlook| {
         // The times hold for the queue as the leader knows it.
--- a/lib/src/batch/gate.rs
+++ b/lib/src/batch/gate.rs
@@ -109,6 +109,16 @@
 impl Gate {
     /// Takes a digest that was computed at `at` by this entry's clock or later, unless it has a newer
     /// one.
+    ///
+    /// ```
+    /// use lavendergauge_lib::batch::admission::Digest;
+    /// use lavendergauge_lib::batch::gate::Gate;
+    /// use lavendergauge_lib::clock::Millis;
+    /// let mut gate = Gate::default();
+    /// gate.receive(Digest { fence: 8, number: 1, ..Digest::default() }, Millis(20));
+    /// gate.receive(Digest { fence: 7, number: 5, ..Digest::default() }, Millis(30));
+    /// assert_eq!(gate.newest(), (8, 1));
+    /// ```
     pub fn receive(&mut self, digest: Digest, at: Millis) {
         if let Some((newest, newest_at)) = &self.newest {
             let (known, other) = ((newest.fence, newest.number), (digest.fence, digest.number));
