speed: act only where the variance among workers shows an uneven fleet

The fleet now counts as uneven by the variance among its known workers, and only then are unknown workers tried one by one.

--- a/lib/src/batch/speed.rs
+++ b/lib/src/batch/speed.rs
@@ -51,17 +51,17 @@
 const KNOWN_VARIANCE: f64 = 0.09;
 /// Logarithm of the factor between workers from which they count as different.
 const MIN_DIFFERENCE: f64 = 0.1;
+/// Variance among the logarithms of the factors of a fleet's workers from which it counts as uneven: a
+/// third of them takes 1.7 times as long as the others. Objectives cover smaller differences.
+const UNEVEN_VARIANCE: f64 = 0.06;
+/// Number of known workers from which the variance among them is judged.
+const MIN_KNOWN: usize = 8;
+/// Divisor of the number of workers; if fewer are known, the fleet does not count as uneven.
+const MIN_KNOWN_DIVISOR: usize = 4;
 /// Lead of one member's factor, as a logarithm, from which a gang's pace is taken as that member's.
 const SLOWEST_LEAD: f64 = 0.3;
-/// Distance from the fast workers, in standard deviations, from which a worker is certainly slow.
-const CERTAIN_DEVIATIONS: f64 = 2.0;
-/// Divisor of the number of known workers; if so many are certainly slow, the fleet is uneven. Of an
-/// even fleet, two in a hundred seem slow by chance.
-const MIN_SLOW_DIVISOR: usize = 16;
 /// Change of a worker's factor, as a logarithm, from which it is logged again.
 const LOGGED_DIFFERENCE: f64 = 0.25;
-/// Factor that a worker of unknown speed may have, as a logarithm: 1.8 times the usual time.
-const UNKNOWN_LOG_FACTOR: f64 = 0.6;
 /// Factor by which a run may take longer than its estimate when its objective is checked.
 const ESTIMATE_ERROR: f64 = 3.0;
 /// Time that a start takes, in milliseconds, which a step's objective has to cover.
@@ -465,14 +465,17 @@
         return smallvec![any(pool.to_vec())];
     }
     let Split { fast, unknown, slow, fast_log_factor, slow_log_factor } = split(tables, pool);
+    if slow.is_empty() {
+        return smallvec![any(pool.to_vec())];
+    }
     let time = Time::of(tables, now, candidate, step);
     let tier = |class, workers| Tier { class, workers, is_spread: class == Class::Unknown };
     let mut tiers = SmallVec::new();
     if time.suffices_at(slow_log_factor) {
-        if step.gang && !slow.is_empty() {
+        if step.gang {
             tiers.push(tier(Class::Slow, slow));
             tiers.push(tier(Class::NotSlow, [fast, unknown].concat()));
-        } else if !step.gang {
+        } else {
             let mut unknown = unknown;
             unknown.retain(|worker| !is_explored(tables, *worker));
             tiers.push(tier(Class::Unknown, unknown));
@@ -482,9 +485,6 @@
         tiers.push(any(pool.to_vec()));
         return tiers;
     }
-    if slow.is_empty() {
-        return smallvec![any(pool.to_vec())];
-    }
     let is_adequate = |key: &key::Worker| time.suffices_at(tables.workers[*key].speed.log_factor);
     let adequate: Vec<key::Worker> = slow.into_iter().filter(is_adequate).collect();
     let not_slow = [fast.as_slice(), &unknown, &adequate].concat();
@@ -541,6 +541,27 @@
     }
 }
 
+/// Estimates the variance among the logarithms of workers' factors by the method of moments: what their
+/// estimates vary beyond the errors of these.
+fn variance_among<'a>(records: impl Iterator<Item = &'a Record>) -> f64 {
+    let (mut count, mut sum, mut squares, mut errors, mut kept) = (0, 0.0, 0.0, 0.0, 0.0);
+    for record in records.filter(|record| is_known(record)) {
+        // An estimate is the samples' mean, shrunk towards the prior; its error is shrunk alike.
+        let shrinkage = 1.0 - record.variance / WORKER_VARIANCE;
+        count += 1;
+        sum += record.log_factor;
+        squares += record.log_factor.powi(2);
+        errors += shrinkage * record.variance;
+        kept += shrinkage.powi(2);
+    }
+    if count < MIN_KNOWN {
+        return 0.0;
+    }
+    let number = f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+    let observed = (squares - sum.powi(2) / number) / (number - 1.0);
+    (observed - errors / number) / (kept / number)
+}
+
 /// Workers by what is known about their speed.
 struct Split {
     fast: Vec<key::Worker>,
@@ -548,7 +569,7 @@
     slow: Vec<key::Worker>,
     /// Typical factor of the fast workers, as a logarithm.
     fast_log_factor: f64,
-    /// Highest factor of the slow workers, as a logarithm; that of unknown ones if none is slow.
+    /// Highest factor of the slow workers, as a logarithm.
     slow_log_factor: f64,
 }
 
@@ -566,19 +587,18 @@
         true => 0.0,
         false => *known.select_nth_unstable_by(lower_quartile, f64::total_cmp).1,
     };
-    let exceeds = |record: &Record, deviations: f64| {
-        let least = record.log_factor - deviations * record.variance.sqrt();
-        is_known(record) && fast_log_factor + MIN_DIFFERENCE < least
+    // A few workers that differ say little about a fleet.
+    let is_uneven = pool.len() <= MIN_KNOWN_DIVISOR * known.len()
+        && UNEVEN_VARIANCE <= variance_among(pool.iter().map(|key| record(*key)));
+    let is_slow = |record: &Record| {
+        is_uneven && fast_log_factor + MIN_DIFFERENCE < record.log_factor - record.variance.sqrt()
     };
-    let certain = pool.iter().filter(|key| exceeds(record(**key), CERTAIN_DEVIATIONS)).count();
-    let is_uneven = MIN_SLOW_DIVISOR <= known.len() && known.len() / MIN_SLOW_DIVISOR <= certain;
-    let is_slow = |record: &Record| is_uneven && exceeds(record, 1.0);
     let mut split = Split {
         fast: Vec::new(),
         unknown: Vec::new(),
         slow: Vec::new(),
         fast_log_factor,
-        slow_log_factor: fast_log_factor + UNKNOWN_LOG_FACTOR,
+        slow_log_factor: f64::NEG_INFINITY,
     };
     for key in pool.iter().copied() {
         let record = record(key);
