--- a/daemon/src/batch.rs
+++ b/daemon/src/batch.rs
@@ -2,18 +2,21 @@
 //!
 //! State that must survive a restart is kept in the platform's store; see docs/design/platform.md.
 
+pub mod admission;
 pub mod advise;
 pub mod agent;
 pub mod agent_order;
 pub mod agent_worker;
 pub mod config_view;
 pub mod entry;
+pub mod explain;
 pub mod follow;
 pub mod forward;
 pub mod in_doubt;
 pub mod ingress;
 pub mod keys;
 pub mod leader;
+pub mod learned;
 pub mod maintenance;
 pub mod message;
 pub mod peer;
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -6,14 +6,18 @@
 //! start order is sent, and the end of every run is recorded there before its worker may discard
 //! it.
 
+pub mod admission;
 pub mod advice;
 pub mod assign;
 pub mod config;
 pub mod dispatch;
 pub mod event;
+pub mod explain;
+pub mod gate;
 pub mod headroom;
 pub mod health;
 pub mod job;
+pub mod learned;
 pub mod observe;
 pub mod order;
 pub mod pace;
@@ -26,9 +30,13 @@
 pub mod refill;
 pub mod reservation;
 pub mod run_time;
+pub mod share;
+pub mod shortage;
+pub mod speed;
 pub mod succession;
 pub mod supervise;
 pub mod table;
 pub mod tick;
+pub mod trust;
 pub mod wait;
 pub mod wave;
--- a/lib/src/batch/run_time.rs
+++ b/lib/src/batch/run_time.rs
@@ -14,6 +14,7 @@
 use crate::batch::job::Step;
 use crate::batch::observe::Ending;
 use crate::batch::rank;
+use crate::batch::speed;
 use crate::batch::table::Job;
 use crate::batch::table::Run;
 use crate::batch::table::Tables;
@@ -310,8 +311,8 @@
 }
 
 /// Returns the factor by which a worker takes longer than usual; 1 while unknown.
-pub fn factor(_tables: &Tables, _worker: key::Worker) -> f64 {
-    1.0
+pub fn factor(tables: &Tables, worker: key::Worker) -> f64 {
+    tables.workers.get(worker).map_or(1.0, |row| speed::factor(&row.speed))
 }
 
 /// Returns the ratio of the run time of a job's steps to their estimates, at a quantile; 1 while the
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -24,11 +24,16 @@
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
+use crate::batch::learned;
 use crate::batch::pace;
 use crate::batch::policy::Policy;
 use crate::batch::progress::Outcome;
 use crate::batch::rank;
 use crate::batch::run_time;
+use crate::batch::share;
+use crate::batch::shortage;
+use crate::batch::speed;
+use crate::batch::trust;
 use crate::clock::Millis;
 use crate::key;
 use crate::resource::Resources;
@@ -156,6 +161,8 @@
     pub measure: u32,
     /// Share of full speed that was ordered last, in percent.
     pub pace_percent: u32,
+    /// Progress at the last sample of its speed.
+    pub pace_mark: Option<speed::Mark>,
 }
 
 impl Run {
@@ -191,6 +198,7 @@
             is_stop_acknowledged: false,
             measure: 0,
             pace_percent: FULL_PACE,
+            pace_mark: None,
         }
     }
 }
@@ -203,6 +211,8 @@
     pub run: u32,
     /// Number of failed runs.
     pub failures: u32,
+    /// When its newest failure was observed; zero under an earlier planner.
+    pub failed_at: Millis,
     /// Number of the newest run that failed.
     pub failed_run: u32,
     /// Whether a run has succeeded.
@@ -350,6 +360,10 @@
     pub unrecorded: BTreeMap<Id, u64>,
     /// Failure history.
     pub health: health::Health,
+    /// What its starts and runs have shown.
+    pub trust: trust::Record,
+    /// What is known about its speed.
+    pub speed: speed::Record,
     /// Gets no new work before this time.
     pub paused_until: Millis,
     /// Number of starts that were refused since one was carried out.
@@ -381,6 +395,15 @@
     pub has_preempted: bool,
 }
 
+/// Stored record of a refused job.
+#[token]
+pub struct RefusedRecord {
+    /// Revision of the last change of its key.
+    pub revision: u64,
+    /// When it was written, in Unix milliseconds.
+    pub written_ms: u64,
+}
+
 /// All tables of the planner.
 #[row]
 pub struct Tables {
@@ -394,6 +417,8 @@
     pub evacuated: BTreeSet<String>,
     /// Jobs.
     pub jobs: BTreeMap<Id, Job>,
+    /// Stored records of refused jobs, which are no jobs.
+    pub refused: BTreeMap<Id, RefusedRecord>,
     /// Runs that may exist.
     pub runs: SlotMap<key::Run, Run>,
     /// Workers.
@@ -412,8 +437,18 @@
     pub explained: BTreeMap<StepInstance, Millis>,
     /// What was learned about run times; only used if [`Policy::run_time_model`] is on.
     pub run_times: run_time::RunTimes,
+    /// Capacity in use by expected end, and earlier decisions on waiting steps.
+    pub shortage: shortage::State,
+    /// What each client account holds and has used.
+    pub shares: share::State,
+    /// Samples of the speed of workers, by step.
+    pub paces: speed::Steps,
     /// Recent arrivals of the most urgent jobs.
     pub urgent_arrivals: headroom::Arrivals,
+    /// Recent failures on all workers.
+    pub trust: trust::State,
+    /// What an earlier leader knew about workers that have not reported yet, by agent.
+    pub learned: BTreeMap<String, learned::Pending>,
     /// Jobs whose record has to be written.
     pub dirty: BTreeSet<Id>,
     /// Jobs that changed since the last tick: their outcome and waiting tasks are to be determined.
@@ -449,6 +484,7 @@
             policy: Policy::default(),
             evacuated: BTreeSet::new(),
             jobs: BTreeMap::new(),
+            refused: BTreeMap::new(),
             runs: SlotMap::with_key(),
             workers: SlotMap::with_key(),
             nodes: HashMap::new(),
@@ -458,7 +494,12 @@
             examined: BTreeMap::new(),
             explained: BTreeMap::new(),
             run_times: run_time::RunTimes::default(),
+            shortage: shortage::State::default(),
+            shares: share::State::default(),
+            paces: speed::Steps::default(),
             urgent_arrivals: headroom::Arrivals::default(),
+            trust: trust::State::default(),
+            learned: BTreeMap::new(),
             dirty: BTreeSet::new(),
             unsettled: BTreeSet::new(),
             active: BTreeSet::new(),
@@ -574,6 +615,12 @@
         }
         self.unsettled.insert(task.instance.job);
         self.changed_workers.insert(worker);
+        if self.policy.shortage {
+            shortage::note_inserted(self, key);
+        }
+        if self.policy.account_shares {
+            share::note_inserted(self, key);
+        }
         Some(key)
     }
 
@@ -581,6 +628,8 @@
     pub fn remove_run(&mut self, key: key::Run) -> Option<Run> {
         let run = self.runs.remove(key)?;
         self.unsent.remove(&key);
+        shortage::note_removed(&mut self.shortage, key);
+        share::note_removed(&mut self.shares, key);
         if let Some(task_state) = self.task_state_mut(run.task)
             && task_state.live == Some(key)
         {
@@ -674,6 +723,8 @@
             acknowledged: 0,
             unrecorded: BTreeMap::new(),
             health: health::Health::default(),
+            trust: trust::Record::default(),
+            speed: speed::Record::default(),
             paused_until: Millis(0),
             refusals: 0,
             pace: None,
