--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -329,6 +329,16 @@
             wait.reserved,
             wait.open
         ),
+        Event::RunTime { queue, account, median_permille, tail_permille, observations } => {
+            counter!("lavendergauge_run_time_changes_total").increment(1);
+            histogram!("lavendergauge_run_time_ratio").record(f64::from(*median_permille) / 1000.0);
+            log::info!(
+                "event=run-time-assumed queue={} account={} median_permille={median_permille} \
+                 tail_permille={tail_permille} observations={observations}",
+                Value(queue),
+                Value(account)
+            );
+        }
         Event::Shortage(_) | Event::Raised(..) | Event::Weighed(_) | Event::Shares(_) => {
             log_choice(event);
         }
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -29,6 +29,7 @@
 pub mod records;
 pub mod refill;
 pub mod reservation;
+pub mod run_time;
 pub mod share;
 pub mod shortage;
 pub mod speed;
--- a/lib/src/batch/explain.rs
+++ b/lib/src/batch/explain.rs
@@ -392,7 +392,7 @@
             } else if own.long_running {
                 continue;
             } else {
-                reservation::remaining_ms(own, run, now)
+                reservation::remaining_ms(tables, own, run, now)
             };
             ends.push((remaining_ms, *key, run.demand));
         }
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -9,6 +9,7 @@
 
 use crate::batch::job::Task;
 use crate::batch::learned;
+use crate::batch::run_time;
 use crate::batch::speed;
 use crate::batch::table;
 use crate::batch::table::Cause;
@@ -181,7 +182,7 @@
         let has_ended = |run: &table::Run| {
             run.incarnation <= ended_incarnation && (run.seen_at.is_some() || run.is_inherited())
         };
-        end_runs_where(tables, key, &mut changes, "worker has ended", has_ended);
+        end_runs_where(tables, now, key, &mut changes, "worker has ended", has_ended);
     }
     let worker = &mut tables.workers[key];
     let has_new_session = worker.session != report.session;
@@ -219,7 +220,7 @@
         let age = report.clock.saturating_sub(list.received_at);
         speed::observe_progress(tables, key, Millis(now.0.saturating_sub(age)));
     }
-    end_missing_runs(tables, key, list, &mut changes);
+    end_missing_runs(tables, now, key, list, &mut changes);
     changes
 }
 
@@ -296,7 +297,7 @@
     if has_new_incarnation {
         let incarnation = announcement.incarnation;
         let ended = |run: &table::Run| run.incarnation < incarnation && run.seen_at.is_some();
-        end_runs_where(tables, key, changes, "worker restarted", ended);
+        end_runs_where(tables, now, key, changes, "worker restarted", ended);
         carry_over(tables, key, incarnation);
     }
     if !tables.learned.is_empty() {
@@ -328,6 +329,7 @@
 /// Ends every run on a worker that a predicate selects, except planned ones.
 pub fn end_runs_where(
     tables: &mut Tables,
+    now: Millis,
     key: key::Worker,
     changes: &mut Vec<Change>,
     cause: &'static str,
@@ -340,7 +342,9 @@
         }
         let task = run.task;
         changes.push(Change::Lost(task, run.number, cause));
-        tables.remove_run(run_key);
+        if let Some(run) = tables.remove_run(run_key) {
+            run_time::observe_stopped(tables, now, run_key, &run);
+        }
         tables.touch(task.instance.job);
         break_gang(tables, task);
     }
@@ -418,6 +422,9 @@
         speed::observe_end(tables, current, now);
     }
     let ended = current.and_then(|current| tables.remove_run(current));
+    if let (Some(key), Some(run)) = (current, &ended) {
+        run_time::observe_end(tables, now, key, run, end.ending);
+    }
     let worked = ended.as_ref().map_or(Duration::MAX, |run| now.since(run.since));
     let is_current = current.is_some();
     let Some(task_state) = tables.task_state_mut(task) else { return };
@@ -542,11 +549,16 @@
             tables.workers[key].refusals = 0;
         }
         run.measure = row.measure;
+        let mut has_progressed = false;
         if run.percent < row.percent {
             run.percent = row.percent;
             run.progressed_at = now;
+            has_progressed = true;
         }
         tables.workers[key].trust.observe_run(run, reported_at);
+        if let Some(live) = live.filter(|_| has_progressed) {
+            run_time::observe_progress(tables, now, live);
+        }
         if row.checkpoint.is_empty() {
             continue;
         }
@@ -561,7 +573,13 @@
 
 /// Ends the runs that are missing from a list, if the list was requested after their newest order
 /// was settled.
-fn end_missing_runs(tables: &mut Tables, key: key::Worker, list: &List, changes: &mut Vec<Change>) {
+fn end_missing_runs(
+    tables: &mut Tables,
+    now: Millis,
+    key: key::Worker,
+    list: &List,
+    changes: &mut Vec<Change>,
+) {
     for run_key in tables.workers[key].runs.clone() {
         let Some(run) = tables.runs.get(run_key) else { continue };
         let task = run.task;
@@ -572,7 +590,9 @@
             continue;
         }
         changes.push(Change::Lost(task, run.number, "not listed by its worker"));
-        tables.remove_run(run_key);
+        if let Some(run) = tables.remove_run(run_key) {
+            run_time::observe_stopped(tables, now, run_key, &run);
+        }
         tables.touch(task.instance.job);
         break_gang(tables, task);
     }
--- a/lib/src/batch/rank.rs
+++ b/lib/src/batch/rank.rs
@@ -8,6 +8,7 @@
 use crate::batch::job::Id;
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
+use crate::batch::run_time;
 use crate::batch::shortage;
 use crate::batch::shortage::Class;
 use crate::batch::table::Job;
@@ -139,20 +140,26 @@
     for &id in &tables.waiting {
         let Some(job) = tables.jobs.get(&id).filter(|job| job.is_active()) else { continue };
         let objective = objective_ms(job);
+        let ratio = run_time::ratio(tables, job, run_time::USUAL);
+        let longest = job.critical_paths.iter().max().copied().unwrap_or(0);
+        let expected = run_time::scale(longest, ratio);
+        // An account whose estimates are too short has no earlier latest start by that.
+        let allowed =
+            objective.max(expected * job.queue.stretch_permille / 1000 + job.queue.target_ms);
         for row in &job.waiting {
             let Some(occurrence) = job.occurrences.get(&row.occurrence) else { continue };
             if now < occurrence.due {
                 continue;
             }
             let start = occurrence.due;
-            let critical_path = job.critical_paths[usize::from(row.step)];
+            let critical_path = run_time::scale(job.critical_paths[usize::from(row.step)], ratio);
             let worthless_at = start.0 + WORTHLESS_FACTOR * objective;
             candidates.push(Candidate {
                 instance: StepInstance { job: id, occurrence: row.occurrence, step: row.step },
                 guaranteed: covered.binary_search(&id).is_ok(),
                 priority: job.queue.priority,
                 is_worthless: worthless_at < now.0 + critical_path,
-                latest_start: Millis((start.0 + objective).saturating_sub(critical_path)),
+                latest_start: Millis((start.0 + allowed).saturating_sub(critical_path)),
                 worthless_start: Millis(worthless_at.saturating_sub(critical_path)),
                 class: Class::InTime,
                 share_level: 0,
--- a/lib/src/batch/reservation.rs
+++ b/lib/src/batch/reservation.rs
@@ -16,6 +16,7 @@
 use crate::batch::preempt::Plan;
 use crate::batch::rank;
 use crate::batch::rank::Candidate;
+use crate::batch::run_time;
 use crate::batch::shortage;
 use crate::batch::shortage::Verdict;
 use crate::batch::speed;
@@ -73,7 +74,7 @@
     {
         return;
     }
-    let remaining = |step: &Step, run: &Run| Some(remaining_ms(step, run, now));
+    let remaining = |step: &Step, run: &Run| Some(remaining_ms(tables, step, run, now));
     let Some(plan) =
         preempt::cheapest(tables, availability, candidate.instance, count, &groups, remaining)
     else {
@@ -120,7 +121,10 @@
 }
 
 /// Estimates the remaining time of a run, in milliseconds.
-pub(super) fn remaining_ms(step: &Step, run: &Run, now: Millis) -> u64 {
+pub(super) fn remaining_ms(tables: &Tables, step: &Step, run: &Run, now: Millis) -> u64 {
+    if tables.policy.run_time_model {
+        return run_time::remaining_ms(tables, step, run, now, run_time::USUAL);
+    }
     let estimate = rank::estimated_ms(step);
     let gained = u64::from(run.percent.saturating_sub(run.first_percent));
     match run.seen_at {
@@ -168,14 +172,14 @@
         let priority = tables.jobs.get(&id)?.queue.priority;
         let yields = candidate.priority < priority
             || (candidate.guaranteed && covered.binary_search(&id).is_err());
-        if ends_within(step, run, now, slack) {
+        if ends_within(tables, step, run, now, slack) {
             return Some(0);
         }
         if !yields || step.long_running {
             return None;
         }
         match &measure {
-            Some(measure) => measure.price(tables, step, run, remaining_ms(step, run, now)),
+            Some(measure) => measure.price(tables, step, run, remaining_ms(tables, step, run, now)),
             None => Some(preempt::lost_work(step, run, now)),
         }
     };
@@ -192,7 +196,10 @@
             )
         });
     let Some(mut plan) = plan else { return false };
-    let own_work = preempt::cores(step) * rank::estimated_ms(step) * u64::from(count);
+    let expected_ms = tables.jobs.get(&instance.job).map_or(rank::estimated_ms(step), |job| {
+        run_time::expected_ms(tables, job, step, run_time::USUAL)
+    });
+    let own_work = preempt::cores(step) * expected_ms * u64::from(count);
     // A job that no guarantee covers may cost others as much work as it does itself, if it starts
     // in time, and only a part of that if it is late.
     let late = candidate.latest_start < now + Duration::from_millis(tables.bounds.stop_grace_ms);
@@ -221,7 +228,7 @@
     for task in &plan.victims {
         let Some(victim) = tables.step(task.instance) else { continue };
         let Some(run) = tables.run_of(*task) else { continue };
-        if place::is_ending(run.phase) || ends_within(victim, run, now, slack) {
+        if place::is_ending(run.phase) || ends_within(tables, victim, run, now, slack) {
             continue;
         }
         events.push(Event::Preempted { task: *task, run: run.number, by: candidate.instance.job });
@@ -245,14 +252,18 @@
     groups: &[Vec<key::Worker>],
 ) -> Option<(u64, place::Placements)> {
     let remaining =
-        |step: &Step, run: &Run| (!step.long_running).then(|| remaining_ms(step, run, now));
+        |step: &Step, run: &Run| (!step.long_running).then(|| remaining_ms(tables, step, run, now));
     let plan =
         preempt::cheapest(tables, availability, candidate.instance, count, groups, remaining)?;
     let waits = plan.victims.iter().filter_map(|task| {
         let run = tables.run_of(*task)?;
         let step = tables.step(task.instance)?;
         let grace_ms = tables.bounds.stop_grace_ms;
-        Some(if place::is_ending(run.phase) { grace_ms } else { remaining_ms(step, run, now) })
+        Some(if place::is_ending(run.phase) {
+            grace_ms
+        } else {
+            remaining_ms(tables, step, run, now)
+        })
     });
     Some((waits.max().unwrap_or(0), plan.placements))
 }
@@ -270,12 +281,12 @@
 }
 
 /// Tells whether a run will end by itself within a time, judging by its progress so far.
-fn ends_within(step: &Step, run: &Run, now: Millis, time: Duration) -> bool {
+fn ends_within(tables: &Tables, step: &Step, run: &Run, now: Millis, time: Duration) -> bool {
     let gained = run.percent.saturating_sub(run.first_percent);
     run.phase == Phase::Running
         && !step.long_running
         && PREDICTABLE_PERCENT <= gained
-        && remaining_ms(step, run, now) <= time.as_millis() as u64
+        && remaining_ms(tables, step, run, now) <= time.as_millis() as u64
 }
 
 fn reserve(
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -29,6 +29,7 @@
 use crate::batch::policy::Policy;
 use crate::batch::progress::Outcome;
 use crate::batch::rank;
+use crate::batch::run_time;
 use crate::batch::share;
 use crate::batch::shortage;
 use crate::batch::speed;
@@ -434,6 +435,8 @@
     pub examined: BTreeMap<StepInstance, Millis>,
     /// When it was last logged why a step finds no place.
     pub explained: BTreeMap<StepInstance, Millis>,
+    /// What was learned about run times; only used if [`Policy::run_time_model`] is on.
+    pub run_times: run_time::RunTimes,
     /// Capacity in use by expected end, and earlier decisions on waiting steps.
     pub shortage: shortage::State,
     /// What each client account holds and has used.
@@ -490,6 +493,7 @@
             refills: BTreeMap::new(),
             examined: BTreeMap::new(),
             explained: BTreeMap::new(),
+            run_times: run_time::RunTimes::default(),
             shortage: shortage::State::default(),
             shares: share::State::default(),
             paces: speed::Steps::default(),
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -9,6 +9,7 @@
 use crate::batch::progress::Outcome;
 use crate::batch::rank;
 use crate::batch::records;
+use crate::batch::run_time;
 use crate::batch::speed;
 use crate::batch::supervise;
 use crate::batch::table::Cause;
@@ -43,6 +44,9 @@
     supervise::stop_on_leaving_workers(tables, now, events);
     pace::adjust(tables, now, &changed_workers);
     settle(tables, wall_ms, events);
+    if tables.policy.run_time_model {
+        run_time::refresh(&mut tables.run_times, now, events);
+    }
     speed::note_changes(tables, &changed_workers, events);
 }
 
