agent: reports crashes of its worker with the runs that they ended

Cause: no log line or metric told that a worker had crashed, which runs were on it and how long each had worked there, so that the hypotheses of docs/incidents/deadly-tasks.md could not be told apart. Change: the agent keeps a ledger of the runs on its worker's present incarnation and reports the newest four crashes; the planner logs each once and counts it. No decision uses it yet.

--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -4,6 +4,7 @@
 //! lets tasks run only under a grant of the planner, and it starts nothing on a worker that is
 //! leaving.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -15,6 +16,8 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use lavendergauge_lib::batch::crash::Crash;
+use lavendergauge_lib::batch::crash::Ledger;
 use lavendergauge_lib::batch::observe::Announcement;
 use lavendergauge_lib::batch::observe::List;
 use lavendergauge_lib::batch::observe::Report;
@@ -56,6 +59,8 @@
 
 /// Maximum size of a heartbeat's body, in bytes.
 const HEARTBEAT_LIMIT: usize = 64 << 10;
+/// Maximum number of crashes that are reported.
+const MAX_CRASHES: usize = 4;
 /// Maximum number of concurrent connections to one listener.
 const CONNECTIONS: usize = 512;
 /// Time by which a lease is shortened to allow for the duration of calls, in milliseconds.
@@ -93,6 +98,35 @@
     pub is_stopping: bool,
     /// Whether orders were executed since the worker was last polled for its runs.
     pub has_new_orders: bool,
+    /// The runs on the worker's present incarnation.
+    pub ledger: Ledger,
+    /// The newest crashes of the worker, the oldest first.
+    pub crashes: VecDeque<Crash>,
+}
+
+impl State {
+    /// Records that the worker's present incarnation has ended without a leave message.
+    ///
+    /// A worker that had announced to leave has not crashed: it also ends when its message is lost.
+    pub fn record_end(&mut self) {
+        let Some(worker) = &self.worker else { return };
+        self.ended_incarnation = self.ended_incarnation.max(worker.incarnation);
+        if !worker.ready {
+            self.ledger.clear();
+            return;
+        }
+        let crash = self.ledger.close(worker.incarnation, clock::boot().0);
+        log::warn!(
+            "event=worker-crash-noticed worker={} incarnation={} runs={}",
+            worker.id,
+            crash.incarnation,
+            crash.casualties.len()
+        );
+        if self.crashes.len() == MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+        self.crashes.push_back(crash);
+    }
 }
 
 /// An agent, shared by its listeners and loops.
@@ -185,6 +219,7 @@
             is_stopping: state.is_stopping,
             worker: state.worker.clone(),
             list: state.list.clone(),
+            crashes: state.crashes.iter().cloned().collect(),
         }
     }
 }
@@ -247,6 +282,8 @@
             is_worker_responsive: true,
             is_stopping: false,
             has_new_orders: false,
+            ledger: Ledger::default(),
+            crashes: VecDeque::new(),
         }),
     });
     log::info!(
@@ -360,7 +397,7 @@
             announcement.rack,
             announcement.ready
         );
-        state.ended_incarnation = state.ended_incarnation.max(known_incarnation);
+        state.record_end();
         state.heartbeat_sequence = heartbeat.sequence;
         state.worker_clock = None;
         state.list = None;
@@ -381,6 +418,7 @@
     }
     log::info!("event=worker-left worker={id} incarnation={known_incarnation}");
     state.ended_incarnation = state.ended_incarnation.max(known_incarnation);
+    state.ledger.clear();
     state.worker = None;
     state.list = None;
     state.worker_clock = None;
--- a/daemon/src/batch/agent_order.rs
+++ b/daemon/src/batch/agent_order.rs
@@ -90,7 +90,8 @@
         return Answer::Refused("no-grant".to_owned());
     };
     let start = Start { lease_until_ms: lease_until, ..start };
-    match agent.client.start(&id, fence, &start).await {
+    agent.state().ledger.begin_start(order.task, order.run, clock::boot().0);
+    let answer = match agent.client.start(&id, fence, &start).await {
         Ok(Reply::Done) => Answer::Done(clock::boot().0),
         Ok(Reply::Refused(reason)) => Answer::Refused(reason),
         Ok(Reply::Gone) => Answer::Gone,
@@ -99,7 +100,14 @@
             log::warn!("event=worker-silent worker={id} cause={}", Value(&error.to_string()));
             Answer::Unknown
         }
+    };
+    let ledger = &mut agent.state().ledger;
+    match &answer {
+        Answer::Done(at) => ledger.confirm_start(order.task, order.run, *at),
+        Answer::Refused(_) | Answer::Gone => ledger.cancel_start(order.task, order.run),
+        Answer::Unknown => {}
     }
+    answer
 }
 
 async fn stop_run(agent: &Agent, fence: u64, order: &Order) -> Answer {
--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -123,7 +123,7 @@
             snapshot.incarnation,
             poll.incarnation
         );
-        state.ended_incarnation = state.ended_incarnation.max(poll.incarnation);
+        state.record_end();
         state.worker = None;
         state.list = None;
         state.worker_clock = None;
@@ -132,6 +132,7 @@
         return;
     }
     state.worker_clock = Some((snapshot.clock_ms, clock::boot().0));
+    state.ledger.apply_list(&snapshot.running, sent_at);
     let list = List {
         incarnation: poll.incarnation,
         fence: poll.fence,
--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -440,6 +440,17 @@
     match change {
         Change::Joined(id) => log::info!("event=worker-known worker={id}"),
         Change::Leaving(id) => log::info!("event=worker-leaving worker={id}"),
+        Change::Crashed { node, incarnation, runs, suspects } => {
+            counter!("lavendergauge_worker_crashes_total").increment(1);
+            counter!("lavendergauge_runs_lost_in_crashes_total").increment(*runs as u64);
+            let names: Vec<String> =
+                suspects.iter().map(|(task, run)| format!("{task}/{run}")).collect();
+            log::warn!(
+                "event=worker-crashed worker={node} incarnation={incarnation} runs={runs} \
+                 suspects={}",
+                Value(&names.join(","))
+            );
+        }
         Change::Recalled { worker, avoided_ms } => {
             log::info!("event=worker-recalled worker={worker} avoided_ms={avoided_ms}");
         }
--- a/lib/benches/batch_scale.rs
+++ b/lib/benches/batch_scale.rs
@@ -194,6 +194,7 @@
                 running: runs,
                 ends: Vec::new(),
             }),
+            crashes: Vec::new(),
         }
     }
 
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -10,6 +10,7 @@
 pub mod advice;
 pub mod assign;
 pub mod config;
+pub mod crash;
 pub mod dispatch;
 pub mod event;
 pub mod explain;
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use smallvec::SmallVec;
 
+use crate::batch::crash::Crash;
 use crate::batch::job::Task;
 use crate::batch::learned;
 use crate::batch::run_time;
@@ -143,6 +144,9 @@
     pub worker: Option<Announcement>,
     /// The worker's newest list; `None` before the first.
     pub list: Option<List>,
+    /// The newest crashes of the worker that the agent noticed, the oldest first.
+    #[serde(default)]
+    pub crashes: Vec<Crash>,
 }
 
 /// What a report changed, for the log.
@@ -152,6 +156,17 @@
     Joined(String),
     /// A worker takes no more new work.
     Leaving(String),
+    /// A worker has crashed.
+    Crashed {
+        /// Name of the agent.
+        node: String,
+        /// The incarnation that ended.
+        incarnation: u64,
+        /// Number of runs that the crash has ended.
+        runs: usize,
+        /// Runs that had just started, and so may have caused the crash.
+        suspects: Vec<(Task, u32)>,
+    },
     /// A worker is avoided because of what an earlier leader has learned.
     Recalled {
         /// The worker's identifier.
@@ -176,6 +191,7 @@
     let mut changes = Vec::new();
     let inherited_bound = tables.took_over + table::takeover_bound();
     let key = tables.worker_at(&report.node, inherited_bound);
+    apply_crashes(tables, key, report, &mut changes);
     apply_announcement(tables, now, key, report, &mut changes);
     if report.ended_incarnation != 0 {
         let ended_incarnation = report.ended_incarnation;
@@ -224,6 +240,29 @@
     changes
 }
 
+/// Applies the crashes that were not reported before.
+fn apply_crashes(
+    tables: &mut Tables,
+    key: key::Worker,
+    report: &Report,
+    changes: &mut Vec<Change>,
+) {
+    for crash in &report.crashes {
+        let worker = &mut tables.workers[key];
+        if crash.incarnation <= worker.crashed_incarnation {
+            continue;
+        }
+        worker.crashed_incarnation = crash.incarnation;
+        let suspects = crash.casualties.iter().filter(|casualty| casualty.is_suspect());
+        changes.push(Change::Crashed {
+            node: worker.node.clone(),
+            incarnation: crash.incarnation,
+            runs: crash.casualties.len(),
+            suspects: suspects.map(|casualty| (casualty.task, casualty.run)).collect(),
+        });
+    }
+}
+
 /// Records that an agent did not answer: its worker gets no new work until the next report. What
 /// runs there continues under its grant.
 pub fn mark_unreachable(tables: &mut Tables, node: &str) {
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -317,6 +317,8 @@
 pub struct Worker {
     /// Name of the agent.
     pub node: String,
+    /// Newest incarnation whose crash was applied; 0 for none.
+    pub crashed_incarnation: u64,
     /// The worker's identifier; empty while unknown.
     pub id: String,
     /// The worker's incarnation; 0 while unknown.
@@ -702,6 +704,7 @@
         }
         let key = self.workers.insert(Worker {
             node: node.to_owned(),
+            crashed_incarnation: 0,
             id: String::new(),
             incarnation: 0,
             service: String::new(),
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -16,6 +16,8 @@
 use lavendergauge_lib::batch::config::Bounds;
 use lavendergauge_lib::batch::config::Config;
 use lavendergauge_lib::batch::config::Queue;
+use lavendergauge_lib::batch::crash::Crash;
+use lavendergauge_lib::batch::crash::Ledger;
 use lavendergauge_lib::batch::dispatch;
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::Intent;
@@ -50,6 +52,9 @@
 /// Time that a stopped run takes to end, in milliseconds.
 const STOP_MS: u64 = 400;
 
+/// Time for which a worker is down after a crash, in milliseconds.
+pub const DOWN_MS: u64 = 3000;
+
 /// A run on a simulated worker.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -100,6 +105,14 @@
     pub is_responsive: bool,
     /// Incarnation that its agent still reports, after a restart that the agent has not noticed.
     pub believed_incarnation: Option<u64>,
+    /// The runs on the present incarnation, as the agent knows them.
+    pub ledger: Ledger,
+    /// Crashes that the agent noticed.
+    pub crashes: Vec<Crash>,
+    /// Incarnation that the ledger is about.
+    pub ledger_incarnation: u64,
+    /// Until when it is down after a crash.
+    pub down_until: u64,
 }
 
 impl Worker {
@@ -151,6 +164,12 @@
     pub store_down: bool,
     /// Orders to run at a share of the full speed, in percent.
     pub paced: Vec<(Task, u32)>,
+    /// Tasks that crash every worker that starts them.
+    pub deadly: BTreeSet<Task>,
+    /// Every crash of a worker: its time, and the tasks that ran there.
+    pub crashes: Vec<(u64, Vec<Task>)>,
+    /// Workers on which such a task has started.
+    doomed: BTreeSet<usize>,
     next_id: u64,
 }
 
@@ -210,6 +229,10 @@
                 refuses: false,
                 is_responsive: true,
                 believed_incarnation: None,
+                ledger: Ledger::default(),
+                crashes: Vec::new(),
+                ledger_incarnation: 1 + index as u64,
+                down_until: 0,
             })
             .collect();
         let mut sim = Simulation {
@@ -226,6 +249,9 @@
             wasted_ms: 0,
             store_down: false,
             paced: Vec::new(),
+            deadly: BTreeSet::new(),
+            crashes: Vec::new(),
+            doomed: BTreeSet::new(),
             next_id: 1,
         };
         sim.run_for(200);
@@ -322,6 +348,9 @@
         let until = self.now + ms;
         while self.now < until {
             self.now += STEP_MS;
+            for index in std::mem::take(&mut self.doomed) {
+                self.crash(index);
+            }
             self.advance_runs();
             self.send_reports();
             self.tick();
@@ -382,6 +411,7 @@
             }
             self.workers[index].fence = self.workers[index].fence.max(self.fence);
             self.apply_acknowledgements(index);
+            self.note_crash(index);
             let report = self.report_of(index);
             let changes =
                 observe::apply_report(&mut self.tables, Millis(self.now), self.fence, &report);
@@ -393,6 +423,31 @@
         }
     }
 
+    /// Makes an agent compare its ledger with what its worker runs.
+    fn note_crash(&mut self, index: usize) {
+        let now = self.now;
+        let worker = &mut self.workers[index];
+        if worker.believed_incarnation.is_some() || now < worker.down_until {
+            return;
+        }
+        if worker.ledger_incarnation < worker.incarnation {
+            worker.crashes.push(worker.ledger.close(worker.ledger_incarnation, now));
+            worker.ledger_incarnation = worker.incarnation;
+        }
+        let rows: Vec<ListedRun> = worker
+            .runs
+            .iter()
+            .map(|(task, run)| ListedRun {
+                task: *task,
+                run: run.run,
+                checkpoint: String::new(),
+                percent: 0,
+                measure: 0,
+            })
+            .collect();
+        worker.ledger.apply_list(&rows, now);
+    }
+
     fn apply_acknowledgements(&mut self, index: usize) {
         let worker = &mut self.workers[index];
         let Some(key) = self.tables.nodes.get(&worker.node) else { return };
@@ -414,7 +469,12 @@
     /// Returns the report that an agent would send now.
     pub fn report_of(&self, index: usize) -> Report {
         let worker = &self.workers[index];
-        let incarnation = worker.believed_incarnation.unwrap_or(worker.incarnation);
+        let is_down = self.now < worker.down_until;
+        let incarnation = if is_down {
+            worker.ledger_incarnation
+        } else {
+            worker.believed_incarnation.unwrap_or(worker.incarnation)
+        };
         let row = |(task, run): (&Task, &Run)| {
             let elapsed = if worker.is_stuck { 0 } else { self.now - run.began_at };
             let percent = (elapsed * 100 / run.duration_ms.max(1)).min(99) as u32;
@@ -440,10 +500,10 @@
             fence: worker.fence,
             version: 0,
             ended_incarnation: 0,
-            is_worker_responsive: worker.is_responsive,
+            is_worker_responsive: worker.is_responsive && !is_down,
             is_stopping: false,
             worker: Some(announcement),
-            list: worker.believed_incarnation.is_none().then(|| List {
+            list: (worker.believed_incarnation.is_none() && !is_down).then(|| List {
                 incarnation,
                 fence: worker.fence,
                 sent_at: self.now,
@@ -451,6 +511,7 @@
                 running: worker.runs.iter().map(row).collect(),
                 ends: worker.ends.clone(),
             }),
+            crashes: worker.crashes.clone(),
         }
     }
 
@@ -505,6 +566,9 @@
             return Answer::Unknown;
         }
         let worker = &self.workers[index];
+        if self.now < worker.down_until {
+            return Answer::Unknown;
+        }
         if order.incarnation != worker.believed_incarnation.unwrap_or(worker.incarnation) {
             return Answer::Gone;
         }
@@ -542,6 +606,13 @@
         let row = self.tables.nodes.get(&worker.node).map(|key| &self.tables.workers[*key]);
         worker.lease_until = worker.lease_until.max(row.map_or(0, |row| row.grant_until));
         self.starts.push((now, order.task, order.run, worker.node.clone()));
+        worker.ledger.begin_start(order.task, order.run, now);
+        if !worker.loses_answers {
+            worker.ledger.confirm_start(order.task, order.run, now);
+        }
+        if self.deadly.contains(&order.task) {
+            self.doomed.insert(index);
+        }
         assert!(
             !self.done.contains(&order.task) || self.is_end_lost(order.task),
             "{order:?} starts a task that is done"
@@ -611,6 +682,14 @@
         worker.last_end = 0;
     }
 
+    /// Crashes a worker; its next incarnation is up after [`DOWN_MS`].
+    pub fn crash(&mut self, index: usize) {
+        let running = self.workers[index].runs.keys().copied().collect();
+        self.crashes.push((self.now, running));
+        self.restart(index);
+        self.workers[index].down_until = self.now + DOWN_MS;
+    }
+
     /// Restarts a worker whose agent does not notice it before [`Simulation::notice_restart`].
     pub fn restart_unnoticed(&mut self, index: usize) {
         let before = self.workers[index].incarnation;
