tests: crashing tasks and changing capacities, failing

Cause: a run that is lost with its worker counts for nothing, and a start is not checked against a capacity that has shrunk since it was planned; see docs/incidents/deadly-tasks.md. The simulation crashes workers, changes their accelerators, and checks the capacity at each start instead of at each step: usage grows at starts only, so that the check is as strict for a constant capacity and defined for a changing one.

--- /dev/null
+++ b/lib/tests/batch_capacity.rs
@@ -0,0 +1,80 @@
+//! Workers whose capacity shrinks and grows while they run tasks.
+
+mod batch_sim;
+
+use batch_sim::Simulation;
+use batch_sim::step;
+use lavendergauge_lib::batch::job::State;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Time after which a start must respect a capacity that has shrunk, in milliseconds.
+const GRACE_MS: u64 = 1000;
+
+#[test]
+#[ignore = "KNOWN-RED: issue 33"]
+fn outdated_capacity() {
+    // A run is planned while the store is down, and its worker shrinks before it is recorded.
+    let mut sim = Simulation::new(1);
+    sim.capacity_grace_ms = GRACE_MS;
+    sim.store_down = true;
+    let id = sim.submit("plain", "brno", vec![step(3, 8, 1000)], 1000);
+    sim.run_for(500);
+    (0..2).for_each(|index| sim.workers[index].accelerators = 4);
+    sim.run_for(2 * GRACE_MS);
+    sim.store_down = false;
+    assert!(sim.run_until_ended(60_000));
+    assert_eq!(sim.state(id), Some(State::Completed));
+}
+
+#[test]
+#[ignore = "KNOWN-RED: issue 33"]
+fn futile_preemption() {
+    // Stopping all that is less urgent on a worker that has shrunk does not free enough there.
+    let mut sim = Simulation::new(1);
+    let urgent = sim.submit("urgent", "brno", vec![step(3, 4, 20_000)], 20_000);
+    sim.run_for(100);
+    let patient = sim.submit("patient", "praha", vec![step(6, 2, 20_000)], 20_000);
+    sim.run_for(500);
+    sim.workers.iter_mut().for_each(|worker| worker.accelerators = 4);
+    sim.run_for(200);
+    let late = sim.submit("urgent", "praha", vec![step(1, 2, 1000)], 1000);
+    sim.run_for(6000);
+    let running: usize = sim.workers.iter().map(|worker| worker.runs.len()).sum();
+    assert_eq!(running, 9, "runs were stopped for nothing");
+    sim.workers.iter_mut().for_each(|worker| worker.accelerators = 8);
+    assert!(sim.run_until_ended(120_000));
+    for id in [urgent, patient, late] {
+        assert_eq!(sim.state(id), Some(State::Completed));
+    }
+}
+
+#[test]
+fn changing_capacity() {
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut sim = Simulation::new(2);
+        sim.capacity_grace_ms = GRACE_MS;
+        for second in 0..60 {
+            for worker in &mut sim.workers {
+                if rng.random_bool(0.2) {
+                    worker.accelerators = rng.random_range(1..=8);
+                }
+            }
+            sim.store_down = rng.random_bool(0.2);
+            if second % 2 == 0 {
+                let work = rng.random_range(500..4000);
+                let queue = ["urgent", "plain", "patient"][rng.random_range(0..3)];
+                sim.submit(queue, "brno", vec![step(3, rng.random_range(1..4), work)], work);
+            }
+            if rng.random_bool(0.05) {
+                sim.take_over();
+            }
+            sim.run_for(1000);
+        }
+        sim.store_down = false;
+        sim.workers.iter_mut().for_each(|worker| worker.accelerators = 8);
+        assert!(sim.run_until_ended(120_000), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/lib/tests/batch_crash.rs
@@ -0,0 +1,142 @@
+//! Tasks that crash the workers that start them, and sound tasks on workers that crash for other
+//! reasons.
+
+mod batch_sim;
+
+use std::collections::BTreeSet;
+
+use batch_sim::DOWN_MS;
+use batch_sim::Simulation;
+use batch_sim::step;
+use lavendergauge_lib::batch::job::Id;
+use lavendergauge_lib::batch::job::State;
+use lavendergauge_lib::batch::job::Step;
+use lavendergauge_lib::batch::job::StepInstance;
+use lavendergauge_lib::batch::job::Task;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Number of starts of a task that crashes its workers below which it is contained: three crashes and
+/// less than three more starts.
+const MOST_STARTS: usize = 5;
+
+fn task(job: Id, index: u32) -> Task {
+    Task { instance: StepInstance { job, occurrence: 0, step: 0 }, index }
+}
+
+fn start_count(sim: &Simulation, task: Task) -> usize {
+    sim.starts.iter().filter(|(_, started, _, _)| *started == task).count()
+}
+
+/// Submits a job all of whose tasks crash their workers.
+fn submit_deadly(sim: &mut Simulation, queue: &str, steps: Vec<Step>) -> Id {
+    let count = steps[0].tasks;
+    let id = sim.submit(queue, "brno", steps, 4000);
+    sim.deadly.extend((0..count).map(|index| task(id, index)));
+    id
+}
+
+/// Returns the tasks of other jobs that crashes have ended from a time on.
+fn bystanders(sim: &Simulation, guilty: Id, since: u64) -> BTreeSet<Task> {
+    let later = sim.crashes.iter().filter(|(at, _)| since < *at);
+    let lost = later.flat_map(|(_, tasks)| tasks.iter().copied());
+    lost.filter(|task| task.instance.job != guilty).collect()
+}
+
+#[test]
+#[ignore = "KNOWN-RED: issue 33"]
+fn endless_crashes() {
+    for (tasks, gang) in [(1, false), (3, false), (3, true)] {
+        let mut sim = Simulation::new(2);
+        let others: Vec<Id> =
+            (0..6).map(|_| sim.submit("plain", "praha", vec![step(3, 1, 5000)], 5000)).collect();
+        sim.run_for(1500);
+        let id = submit_deadly(&mut sim, "urgent", vec![Step { gang, ..step(tasks, 2, 4000) }]);
+        assert!(sim.run_until_ended(60_000), "{tasks} {gang}: {} crashes", sim.crashes.len());
+        assert_eq!(sim.state(id), Some(State::Failed));
+        for index in 0..tasks {
+            assert!(start_count(&sim, task(id, index)) <= MOST_STARTS);
+        }
+        for other in others {
+            assert_eq!(sim.state(other), Some(State::Completed));
+        }
+    }
+}
+
+#[test]
+#[ignore = "KNOWN-RED: issue 33"]
+fn forgotten_crashes() {
+    // A leader is lost a while after each crash, before or after the worker is back.
+    for after in [20, 500, DOWN_MS - 20, DOWN_MS, DOWN_MS + 20, DOWN_MS + 200] {
+        let mut sim = Simulation::new(2);
+        let id = submit_deadly(&mut sim, "plain", vec![step(1, 2, 4000)]);
+        let mut handled = 0;
+        while sim.submitted[&id].ended.is_none() && sim.now < 300_000 {
+            sim.run_for(20);
+            if handled < sim.crashes.len() && sim.crashes[handled].0 + after <= sim.now {
+                handled += 1;
+                sim.take_over();
+            }
+        }
+        assert_eq!(sim.state(id), Some(State::Failed), "after {after} ms");
+        assert!(start_count(&sim, task(id, 0)) <= MOST_STARTS, "after {after} ms");
+    }
+}
+
+#[test]
+#[ignore = "KNOWN-RED: issue 33"]
+fn bystanders_lost() {
+    // Jobs that started beside the one at fault are lost with it again when they start beside it again.
+    let mut sim = Simulation::new(3);
+    let others: Vec<Id> =
+        (0..4).map(|_| sim.submit("plain", "praha", vec![step(6, 1, 3000)], 3000)).collect();
+    let id = submit_deadly(&mut sim, "plain", vec![step(1, 1, 3000)]);
+    sim.run_for(500);
+    assert_eq!(sim.crashes.len(), 1);
+    let first = sim.crashes[0].0;
+    assert!(!bystanders(&sim, id, 0).is_empty());
+    for _ in 0..10 {
+        sim.run_for(1000);
+        sim.submit("plain", "praha", vec![step(3, 1, 2000)], 2000);
+    }
+    assert!(sim.run_until_ended(60_000));
+    assert_eq!(bystanders(&sim, id, first), BTreeSet::new());
+    assert_eq!(sim.state(id), Some(State::Failed));
+    for other in others {
+        assert_eq!(sim.state(other), Some(State::Completed));
+    }
+}
+
+#[test]
+fn sound_jobs() {
+    // Workers that crash by turns take sound jobs down again and again.
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut sim = Simulation::new(4);
+        let unstable: Vec<usize> = (0..3).map(|_| rng.random_range(0..12)).collect();
+        let mut ids = Vec::new();
+        for second in 0..40 {
+            if second % 2 == 0 {
+                let gang = rng.random_bool(0.5);
+                let (tasks, work) = (rng.random_range(1..6), rng.random_range(500..6000));
+                ids.push(sim.submit(
+                    "plain",
+                    "brno",
+                    vec![Step { gang, ..step(tasks, 2, work) }],
+                    work,
+                ));
+            }
+            for index in &unstable {
+                if sim.workers[*index].down_until <= sim.now && rng.random_bool(0.3) {
+                    sim.crash(*index);
+                }
+            }
+            sim.run_for(1000);
+        }
+        assert!(sim.run_until_ended(60_000), "seed {seed}");
+        for id in ids {
+            assert_eq!(sim.state(id), Some(State::Completed), "seed {seed}: {id}");
+        }
+    }
+}
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -1,7 +1,7 @@
 //! Simulation of workers around the planner's tables, with a clock of its own.
 //!
 //! It runs a workload against the planner's decisions and checks three invariants at every step: no
-//! worker exceeds its capacity, no task has two runs at a time, and the lists and figures that the
+//! start brings a worker over its capacity, no task has two runs at a time, and the lists and figures that the
 //! tables keep are what their rows say.
 
 #![allow(dead_code)]
@@ -113,6 +113,11 @@
     pub ledger_incarnation: u64,
     /// Until when it is down after a crash.
     pub down_until: u64,
+    /// Accelerators that it has now.
+    pub accelerators: u32,
+    /// Its accelerators as the last check saw them, and what it had before and until when.
+    known_accelerators: u32,
+    larger: Vec<(u64, u32)>,
 }
 
 impl Worker {
@@ -168,6 +173,8 @@
     pub deadly: BTreeSet<Task>,
     /// Every crash of a worker: its time, and the tasks that ran there.
     pub crashes: Vec<(u64, Vec<Task>)>,
+    /// Time for which a start may still use a capacity that has shrunk, in milliseconds.
+    pub capacity_grace_ms: u64,
     /// Workers on which such a task has started.
     doomed: BTreeSet<usize>,
     next_id: u64,
@@ -233,6 +240,9 @@
                 crashes: Vec::new(),
                 ledger_incarnation: 1 + index as u64,
                 down_until: 0,
+                accelerators: 8,
+                known_accelerators: 8,
+                larger: Vec::new(),
             })
             .collect();
         let mut sim = Simulation {
@@ -251,6 +261,7 @@
             paced: Vec::new(),
             deadly: BTreeSet::new(),
             crashes: Vec::new(),
+            capacity_grace_ms: 0,
             doomed: BTreeSet::new(),
             next_id: 1,
         };
@@ -348,6 +359,7 @@
         let until = self.now + ms;
         while self.now < until {
             self.now += STEP_MS;
+            self.note_capacities();
             for index in std::mem::take(&mut self.doomed) {
                 self.crash(index);
             }
@@ -370,6 +382,24 @@
         false
     }
 
+    /// Notes which workers have shrunk.
+    fn note_capacities(&mut self) {
+        let now = self.now;
+        for worker in &mut self.workers {
+            if worker.accelerators < worker.known_accelerators {
+                worker.larger.push((now, worker.known_accelerators));
+            }
+            worker.known_accelerators = worker.accelerators;
+        }
+    }
+
+    /// Returns the greatest capacity that a worker has or had within the grace.
+    fn tolerated_accelerators(&self, worker: &Worker) -> u32 {
+        let is_recent = |(at, _): &&(u64, u32)| self.now <= at + self.capacity_grace_ms;
+        let recent = worker.larger.iter().filter(is_recent).map(|(_, count)| *count);
+        recent.max().unwrap_or(0).max(worker.accelerators)
+    }
+
     fn advance_runs(&mut self) {
         let now = self.now;
         for worker in &mut self.workers {
@@ -487,7 +517,7 @@
             data_centre: "dc".into(),
             rack: worker.rack.clone(),
             labels: vec!["a".into(), worker.rack.clone()],
-            accelerators: 8,
+            accelerators: worker.accelerators,
             processors: 64_000,
             memory_mb: 131_072,
             ready: worker.ready,
@@ -603,6 +633,10 @@
         }
         let run = Run { run: order.run, began_at: now, duration_ms, stops_at: None };
         worker.runs.insert(order.task, run);
+        let used: u32 = self.workers[index].runs.keys().map(|task| self.demand_of(task)).sum();
+        let tolerated = self.tolerated_accelerators(&self.workers[index]);
+        let worker = &mut self.workers[index];
+        assert!(used <= tolerated, "{} is brought over its capacity at {now}", worker.node);
         let row = self.tables.nodes.get(&worker.node).map(|key| &self.tables.workers[*key]);
         worker.lease_until = worker.lease_until.max(row.map_or(0, |row| row.grant_until));
         self.starts.push((now, order.task, order.run, worker.node.clone()));
@@ -649,16 +683,18 @@
         })
     }
 
+    /// Returns the number of accelerators that a task needs.
+    fn demand_of(&self, task: &Task) -> u32 {
+        let steps = &self.records[&task.instance.job].submission.steps;
+        steps[usize::from(task.instance.step)].accelerators
+    }
+
     /// Checks the invariants.
     fn check_invariants(&self) {
         indices::check(&self.tables);
         let mut seen: BTreeMap<Task, &str> = BTreeMap::new();
         for worker in &self.workers {
-            let mut accelerators = 0;
             for (task, run) in &worker.runs {
-                let step = usize::from(task.instance.step);
-                let record = &self.records[&task.instance.job];
-                accelerators += record.submission.steps[step].accelerators;
                 let other = seen.insert(*task, &worker.node);
                 assert!(
                     other.is_none(),
@@ -668,7 +704,6 @@
                     self.now
                 );
             }
-            assert!(accelerators <= 8, "{} exceeds its capacity at {}", worker.node, self.now);
         }
     }
 
