dispatch: a start respects a capacity that has shrunk since it was decided

Callers saw: nothing yet; found by the test outdated_capacity. Cause: the capacity was compared at placement only, and a start may be sent any time later. Change: a start that was not sent is withdrawn when its worker's runs exceed the announced capacity, and its task is placed again. The order carries the capacity on which it is based, and the agent, which hears the worker first, refuses a start on less. A worker over its capacity in any dimension gets no start, and runs that a worker lists but that are not expected there count as occupied until they are gone.

--- a/daemon/src/batch/agent_order.rs
+++ b/daemon/src/batch/agent_order.rs
@@ -1,8 +1,10 @@
 //! Executes the planner's orders at the worker.
 
+use lavendergauge_lib::batch::observe::Announcement;
 use lavendergauge_lib::batch::order::Answer;
 use lavendergauge_lib::batch::order::Order;
 use lavendergauge_lib::batch::order::Verb;
+use lavendergauge_lib::resource::Resources;
 use lavendergauge_platform::Error;
 use lavendergauge_platform::worker::Reply;
 use lavendergauge_platform::worker::Start;
@@ -14,7 +16,7 @@
 /// Executes one order under a fencing token, logs it, and returns the answer for the planner.
 pub async fn execute(agent: &Agent, fence: u64, order: &Order) -> Answer {
     let answer = match &order.verb {
-        Verb::Start { payload, checkpoint, ticket, expires } => {
+        Verb::Start { payload, checkpoint, ticket, expires, capacity } => {
             let start = Start {
                 task: order.task,
                 run: order.run,
@@ -23,7 +25,7 @@
                 ticket,
                 lease_until_ms: 0,
             };
-            start_run(agent, fence, order, start, *expires).await
+            start_run(agent, fence, order, start, *expires, *capacity).await
         }
         Verb::Stop => stop_run(agent, fence, order).await,
         Verb::Pace(percent) => pace_run(agent, fence, order, *percent).await,
@@ -68,12 +70,18 @@
     }
 }
 
+/// Returns the capacity that the worker announced last.
+fn announced_capacity(agent: &Agent) -> Resources {
+    agent.state().worker.as_ref().map(Announcement::capacity).unwrap_or_default()
+}
+
 async fn start_run(
     agent: &Agent,
     fence: u64,
     order: &Order,
     start: Start<'_>,
     expires: u64,
+    capacity: Resources,
 ) -> Answer {
     let (id, ready) = match find_worker(agent, order) {
         Ok(found) => found,
@@ -83,6 +91,9 @@
     if !ready {
         return Answer::Refused("worker-leaving".to_owned());
     }
+    if !capacity.fits(announced_capacity(agent)) {
+        return Answer::Refused("capacity-shrunk".to_owned());
+    }
     if expires < clock::boot().0 {
         return Answer::Refused("order-expired".to_owned());
     }
--- a/lib/src/batch/dispatch.rs
+++ b/lib/src/batch/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::batch::table::Tables;
 use crate::clock::Millis;
 use crate::key;
+use crate::resource::Resources;
 
 /// Time after which a stop order without an answer is sent again.
 const STOP_RETRY: Duration = Duration::from_millis(700);
@@ -48,6 +49,10 @@
     let mut dispatches = Vec::new();
     let unsent: SmallVec<[key::Run; 32]> = tables.unsent.iter().copied().collect();
     for key in unsent {
+        if exceeds_capacity(tables, key) {
+            withdraw(tables, key);
+            continue;
+        }
         let verb = match tables.runs.get(key) {
             Some(run) => pending_verb(tables, now, run),
             None => Pending::Nothing,
@@ -70,6 +75,26 @@
     dispatches
 }
 
+/// Tells whether the capacity of a run's worker has shrunk since the run was planned, so that the run
+/// does not fit any more.
+fn exceeds_capacity(tables: &Tables, key: key::Run) -> bool {
+    let is_unsent = |run: &&Run| run.phase == Phase::Launching && run.ordered.is_none();
+    let Some(run) = tables.runs.get(key).filter(is_unsent) else { return false };
+    tables.workers.get(run.worker).is_some_and(|row| {
+        row.incarnation == run.incarnation && row.is_overcommitted_without(Resources::default())
+    })
+}
+
+/// Drops a run whose start was not sent, so that its task is placed again.
+fn withdraw(tables: &mut Tables, key: key::Run) {
+    let Some(run) = tables.remove_run(key) else { return };
+    let instance = run.task.instance;
+    if tables.step(instance).is_some_and(|step| step.gang) {
+        tables.refills.insert(instance, run.number);
+    }
+    tables.touch(instance.job);
+}
+
 /// Whether a run has an order to send.
 enum Pending {
     /// None, until the run changes.
@@ -96,6 +121,7 @@
                 ticket: advice::ticket(tables, now, instance, run.worker)
                     .map_or_else(String::new, |ticket| ticket.text.clone()),
                 expires: worker.agent_clock + age + START_VALID_MS,
+                capacity: worker.capacity,
             })
         }
         Phase::Stopping(_) if !run.is_stop_acknowledged => {
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -50,6 +50,17 @@
     pub leaves_ms: u64,
 }
 
+impl Announcement {
+    /// Returns the total resources.
+    pub fn capacity(&self) -> Resources {
+        Resources {
+            accelerators: self.accelerators,
+            processors: self.processors,
+            memory_mb: self.memory_mb,
+        }
+    }
+}
+
 /// How a run ended.
 #[value]
 #[derive(Copy, Serialize, Deserialize)]
@@ -290,6 +301,7 @@
         worker.paused_until = Millis(0);
         worker.refusals = 0;
         worker.last_answer = None;
+        worker.stray = Resources::default();
         speed::forget(&mut tables.paces, key, &mut worker.speed);
         changes.push(Change::Joined(announcement.id.clone()));
     } else if worker.ready && !announcement.ready {
@@ -301,11 +313,7 @@
     worker.data_centre = announcement.data_centre.clone();
     worker.rack = announcement.rack.clone();
     worker.labels = announcement.labels.clone();
-    worker.capacity = Resources {
-        accelerators: announcement.accelerators,
-        processors: announcement.processors,
-        memory_mb: announcement.memory_mb,
-    };
+    worker.capacity = announcement.capacity();
     if worker.ready || has_new_incarnation {
         worker.leaves_at = None;
     }
@@ -543,6 +551,7 @@
     changes: &mut Vec<Change>,
 ) {
     let reported_at = tables.workers[key].last_answer.unwrap_or_default();
+    let mut stray = Resources::default();
     for row in &list.running {
         let live = tables.task_state(row.task).and_then(|task_state| task_state.live);
         let found = live.and_then(|live| tables.runs.get_mut(live)).filter(|run| {
@@ -550,6 +559,9 @@
         });
         let Some(run) = found else {
             changes.push(Change::Unexpected(row.task, row.run));
+            if let Some(step) = tables.step(row.task.instance) {
+                stray = stray.plus(step.resources());
+            }
             continue;
         };
         if matches!(run.phase, Phase::Launching) {
@@ -595,6 +607,7 @@
             share_checkpoint(tables, row.task);
         }
     }
+    tables.workers[key].stray = stray;
 }
 
 /// Ends the runs that are missing from a list, if the list was requested after their newest order
--- a/lib/src/batch/order.rs
+++ b/lib/src/batch/order.rs
@@ -14,6 +14,7 @@
 use crate::batch::table::Tables;
 use crate::batch::table::Worker;
 use crate::clock::Millis;
+use crate::resource::Resources;
 
 /// Time for which a worker that refused a start gets no other. It doubles with each further refusal
 /// until the worker carries out a start.
@@ -49,6 +50,10 @@
         ticket: String,
         /// Agent's clock after which the run must not be started, in milliseconds.
         expires: u64,
+        /// Capacity of the worker on which the decision is based; the run must not be started if the
+        /// worker has less.
+        #[serde(default)]
+        capacity: Resources,
     },
     /// Stop the run.
     Stop,
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -97,7 +97,8 @@
         most: u32,
     ) -> u32 {
         let is_closed = |row: &Worker| row.quarantine.is_some_and(|job| job != instance.job);
-        if tables.workers.get(worker).is_none_or(is_closed) {
+        let is_full = |row: &Worker| row.is_overcommitted_without(Resources::default());
+        if tables.workers.get(worker).is_none_or(|row| is_closed(row) || is_full(row)) {
             return 0;
         }
         let fitting = self.unreserved(tables, worker).count_fitting(step.resources(), most);
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -387,12 +387,31 @@
     pub runs: SmallVec<[key::Run; 8]>,
     /// Resources that the runs of its present incarnation occupy.
     pub used: Resources,
+    /// Resources that listed runs occupy which are not expected there.
+    pub stray: Resources,
 }
 
 impl Worker {
     /// Returns the resources that no run occupies.
     pub fn free(&self) -> Resources {
-        self.capacity.minus(self.used)
+        self.free_without(Resources::default())
+    }
+
+    /// Returns the resources that no run would occupy if runs with a sum of demands ended.
+    ///
+    /// On a worker whose capacity has shrunk below what its runs occupy, the first ends free nothing.
+    pub fn free_without(&self, ended: Resources) -> Resources {
+        self.capacity.minus(self.occupied().minus(ended))
+    }
+
+    /// Tells whether the runs that are left after runs with a sum of demands have ended exceed the
+    /// capacity, which may have shrunk since they started.
+    pub fn is_overcommitted_without(&self, ended: Resources) -> bool {
+        !self.occupied().minus(ended).fits(self.capacity)
+    }
+
+    fn occupied(&self) -> Resources {
+        self.used.plus(self.stray)
     }
 }
 
@@ -747,6 +766,7 @@
             pace: None,
             runs: SmallVec::new(),
             used: Resources::default(),
+            stray: Resources::default(),
         });
         self.nodes.insert(node.to_owned(), key);
         key
--- a/lib/src/resource.rs
+++ b/lib/src/resource.rs
@@ -1,11 +1,13 @@
 //! Amounts of accelerators, processors and memory, counted together.
 
 use lavendergauge_derive::token;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// An amount of accelerators, processor cores and memory, such as a worker's capacity or a member's
 /// need.
 #[token]
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Resources {
     /// Number of accelerators.
     pub accelerators: u32,
