strike: one crash counts once against a task

Cause: two starts of the task had been sent to the worker, the first without an answer, and both runs were counted when the worker crashed. Change: of the runs of a task on a crashed worker only the most certain one counts.

--- a/lib/src/batch/strike.rs
+++ b/lib/src/batch/strike.rs
@@ -6,6 +6,7 @@
 //! where it loses them by staying at work for [`PROBATION`], while another crash shows that it is at
 //! fault. See docs/design/crashes.md.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use crate::batch::crash::PROBATION;
 use crate::batch::job::Id;
 use crate::batch::job::Step;
+use crate::batch::job::Task;
 use crate::batch::observe::Change;
 use crate::batch::observe::Report;
 use crate::batch::progress::Crashes;
@@ -112,8 +114,9 @@
         worker.crashed_incarnation = crash.incarnation;
         let age = report.clock.saturating_sub(crash.noticed_at);
         let at = Millis(now.0.saturating_sub(age));
+        let casualties = one_for_each_task(crash);
         let suspects: Vec<&Casualty> =
-            crash.casualties.iter().filter(|casualty| casualty.is_suspect()).collect();
+            casualties.iter().copied().filter(|casualty| casualty.is_suspect()).collect();
         changes.push(Change::Crashed {
             node: worker.node.clone(),
             incarnation: crash.incarnation,
@@ -121,13 +124,28 @@
             suspects: suspects.iter().map(|casualty| (casualty.task, casualty.run)).collect(),
         });
         let verdict = verdict(tables, at, key, &suspects);
-        for casualty in &crash.casualties {
+        for casualty in casualties {
             record_crash(tables, now, casualty, verdict);
         }
         remember(&mut tables.workers[key], at, crash);
     }
 }
 
+/// Returns the most certain casualty of each task.
+///
+/// A task has several if answers to its starts were lost, but the crash counts once against it.
+fn one_for_each_task(crash: &Crash) -> Vec<&Casualty> {
+    let mut by_task: BTreeMap<Task, &Casualty> = BTreeMap::new();
+    for casualty in &crash.casualties {
+        let rank = |casualty: &Casualty| (casualty.is_confirmed, casualty.run);
+        let known = by_task.entry(casualty.task).or_insert(casualty);
+        if rank(known) < rank(casualty) {
+            *known = casualty;
+        }
+    }
+    by_task.into_values().collect()
+}
+
 /// How conclusive a crash is about the tasks that had just started on the worker.
 #[token]
 enum Verdict {
--- a/lib/tests/batch_crash.rs
+++ b/lib/tests/batch_crash.rs
@@ -105,6 +105,23 @@
     }
 }
 
+#[test]
+fn lost_answers() {
+    // One crash counted as two against a task with two starts on the worker, of which one was in doubt.
+    let mut sim = Simulation::new(1);
+    let id = sim.submit("plain", "brno", vec![step(1, 8, 4000)], 4000);
+    sim.run_for(100);
+    let newest = sim.starts.last().expect("a start").clone();
+    let index = sim.workers.iter().position(|worker| worker.node == newest.3).expect("its worker");
+    sim.workers[index].ledger.begin_start(task(id, 0), 2, sim.now);
+    sim.crash(index);
+    sim.run_for(DOWN_MS + 100);
+    let crashes = sim.tables.task_state(task(id, 0)).expect("a task").crashes;
+    assert_eq!((crashes.count, crashes.strikes), (1, 1));
+    assert!(sim.run_until_ended(60_000));
+    assert_eq!(sim.state(id), Some(State::Completed));
+}
+
 #[test]
 fn sound_jobs() {
     // Workers that crash by turns take sound jobs down again and again.
