soak: workers that shrink and jobs that crash workers, with the judge's checks

Cause: the soak played neither, so that nothing but decisions without processes was checked. Change: both come as faults of their own, drawn apart from the others so that earlier seeds keep their faults. The judge checks each start against the capacity, which counts 3.3 s after it has shrunk, that a task that crashes its workers starts at most five times, and that no sound job is given up for crashes.

--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -17,6 +17,10 @@
 const FAULTS_PER_LULL: u32 = 7;
 /// Length of a lull; long enough for the time bounds to apply and be checked.
 const LULL: Duration = Duration::from_millis(9000);
+/// Mean time between two faults of capacity or demand, in milliseconds.
+const MEAN_DEMAND_GAP_MS: u64 = 2500;
+/// One in this many faults of capacity or demand is a job that crashes workers.
+const SHRINKS_PER_CRASHING_JOB: u32 = 5;
 /// Probability that a fault is repeated as soon as it ends, in percent.
 const REPEAT_PERCENT: u32 = 15;
 
@@ -82,6 +86,10 @@
     Evacuate(usize, Duration),
     /// Many jobs are submitted at once.
     Burst,
+    /// A worker has fewer accelerators for the duration.
+    Shrink(usize, u32, Duration),
+    /// A job is submitted whose tasks crash the workers that start them.
+    CrashingJob,
 }
 
 impl Fault {
@@ -108,6 +116,8 @@
             Fault::Revoke(_) => "key taken away",
             Fault::Evacuate(..) => "data centre taken out",
             Fault::Burst => "burst of jobs",
+            Fault::Shrink(..) => "worker shrunk",
+            Fault::CrashingJob => "job that crashes workers",
         }
     }
 
@@ -124,7 +134,8 @@
             | Fault::Crash(_, duration)
             | Fault::Worker(_, _, duration)
             | Fault::Revoke(duration)
-            | Fault::Evacuate(_, duration) => duration,
+            | Fault::Evacuate(_, duration)
+            | Fault::Shrink(_, _, duration) => duration,
             _ => Duration::ZERO,
         }
     }
@@ -167,11 +178,34 @@
             plan.push(Planned { at: at + fault.duration(), fault });
         }
     }
+    plan.extend(plan_demand(seed, size, length));
     plan.retain(|planned| planned.at + planned.fault.duration() < length);
     plan.sort_by_key(|planned| planned.at);
     plan
 }
 
+/// Draws the faults of capacity and demand of a seed, from random numbers of their own, so that the other
+/// faults of the seed do not depend on them.
+fn plan_demand(seed: u64, size: FleetSize, length: Duration) -> Vec<Planned> {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let mut plan = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(rng.random_range(500..2 * MEAN_DEMAND_GAP_MS));
+        if length <= at {
+            return plan;
+        }
+        let duration = Duration::from_millis(rng.random_range(1000..8000));
+        let worker = rng.random_range(0..size.workers);
+        let fault = if rng.random_ratio(1, SHRINKS_PER_CRASHING_JOB) {
+            Fault::CrashingJob
+        } else {
+            Fault::Shrink(worker, rng.random_range(0..8), duration)
+        };
+        plan.push(Planned { at, fault });
+    }
+}
+
 /// Draws one fault.
 fn draw(rng: &mut SmallRng, size: FleetSize) -> Fault {
     let any_process = rng.random_range(0..size.processes());
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -42,7 +42,8 @@
 /// Number of accelerators guaranteed to [`GUARANTEED_ACCOUNT`].
 pub const GUARANTEED_ACCELERATORS: u32 = 8;
 /// Capacity of each worker, as its stand-in reports it.
-const CAPACITY: Resources = Resources { accelerators: 8, processors: 64_000, memory_mb: 131_072 };
+pub const CAPACITY: Resources =
+    Resources { accelerators: 8, processors: 64_000, memory_mb: 131_072 };
 /// Number of workers in a rack.
 const WORKERS_PER_RACK: usize = 3;
 /// Number of data centres.
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -17,6 +17,7 @@
 use lavendergauge_lib::clock::Millis;
 use lavendergauge_lib::resource::Resources;
 use lavendergauge_stand_in::caller::Outcome;
+use lavendergauge_stand_in::worker;
 use lavendergauge_stand_in::worker::Event;
 
 /// Time without disturbance after which time bounds apply, as set by the deployments.
@@ -38,6 +39,16 @@
 /// Longest duration of a call that may still break at a process that stops gracefully, as set by
 /// the deployments.
 const CALL_LOSS_BOUND: Duration = Duration::from_millis(200);
+/// Time after which a start respects a capacity that has shrunk, as set by the deployments: the time
+/// after which time bounds apply and a heartbeat.
+const CAPACITY_BOUND: Duration = Duration::from_millis(3300);
+/// Workers that must have crashed under a task before it is given up, as set by the deployments.
+const MIN_CRASHES: u32 = 2;
+/// Starts of a task that crashes its workers, as set by the deployments: three crashes, and less than
+/// three more starts.
+const MAX_CRASHING_STARTS: usize = 5;
+/// Time for which the crash of a worker disturbs other work.
+const CRASH_DISTURBANCE: Duration = Duration::from_millis(1500);
 /// Failed runs after which a task is not started again, as set for every queue of the soak.
 pub const MAX_ATTEMPTS: u32 = 3;
 
@@ -56,6 +67,8 @@
     Order,
     /// A task that has failed for good is not started again.
     Attempts,
+    /// A task that crashes its workers is not started again and again.
+    Contained,
     /// Every entry knows an accepted job, and the job ends.
     Kept,
     /// The state of a job that callers are shown is true.
@@ -104,6 +117,8 @@
 #[row]
 struct Worker {
     capacity: Resources,
+    /// What it had before it shrank, and until when a start may still use that.
+    larger: Vec<(Millis, Resources)>,
     data_centre: String,
     /// Running tasks, with the resources that each needs.
     running: BTreeMap<Task, Resources>,
@@ -133,6 +148,8 @@
     acknowledged: BTreeSet<(Task, u64)>,
     /// Number of failed runs of each task.
     failures: BTreeMap<Task, u32>,
+    /// Number of workers that crashed while each task ran there.
+    crashes: BTreeMap<Task, u32>,
     /// Number of failed runs of each task that the worker's agent acknowledged.
     acknowledged_failures: BTreeMap<Task, u32>,
     /// Removed keys and when they were removed.
@@ -148,6 +165,7 @@
     pub fn new(workers: Vec<(Resources, String)>) -> Judge {
         let worker = |(capacity, data_centre)| Worker {
             capacity,
+            larger: Vec::new(),
             data_centre,
             running: BTreeMap::new(),
             draining: None,
@@ -310,9 +328,21 @@
         self.completions.range((task, 0)..=(task, u64::MAX)).next().is_some()
     }
 
-    /// Returns true when a task of a job has failed as often as the queue allows.
+    /// Returns true when a task of a job has failed as often as the queue allows, or crashes its
+    /// workers and has crashed enough of them to be given up.
     fn has_failed(&self, id: Id) -> bool {
-        self.failures.iter().any(|(task, count)| task.instance.job == id && MAX_ATTEMPTS <= *count)
+        let reaches = |counts: &BTreeMap<Task, u32>, least: u32| {
+            counts.iter().any(|(task, count)| task.instance.job == id && least <= *count)
+        };
+        let is_crashing = self.jobs.get(&id).is_some_and(|job| worker::is_crashing(&job.payload));
+        reaches(&self.failures, MAX_ATTEMPTS) || is_crashing && reaches(&self.crashes, MIN_CRASHES)
+    }
+
+    /// Records that a worker's capacity has changed.
+    pub fn record_capacity(&mut self, now: Millis, worker: usize, capacity: Resources) {
+        let row = &mut self.workers[worker];
+        row.larger.push((now + CAPACITY_BOUND, row.capacity));
+        row.capacity = capacity;
     }
 
     /// Records an event of a worker.
@@ -341,7 +371,11 @@
             }
             Event::Acknowledged { .. } => {}
             Event::Crashed => {
-                self.workers[worker].running.clear();
+                // Other work is disturbed when a task crashes its worker.
+                self.record_disturbance(now, CRASH_DISTURBANCE);
+                for task in std::mem::take(&mut self.workers[worker].running).into_keys() {
+                    *self.crashes.entry(task).or_default() += 1;
+                }
                 self.workers[worker].draining = None;
             }
         }
@@ -386,9 +420,19 @@
         worker_state.running.insert(task, step.resources());
         let used =
             worker_state.running.values().fold(Resources::default(), |sum, need| sum.plus(*need));
-        let fits = used.fits(worker_state.capacity);
+        let (need, capacity) = (step.resources(), worker_state.capacity);
+        let fits = used.fits(capacity)
+            || worker_state
+                .larger
+                .iter()
+                .any(|(until, larger)| now <= *until && used.fits(*larger));
         self.check(now, Promise::Capacity, fits, || {
-            format!("tasks on worker {worker} need {used:?}, more than its capacity")
+            format!("{task} needs {need:?}: {used:?} on worker {worker}, which has {capacity:?}")
+        });
+        let is_contained =
+            !worker::is_crashing(payload) || self.starts[&task].len() <= MAX_CRASHING_STARTS;
+        self.check(now, Promise::Contained, is_contained, || {
+            format!("{task} run {run} starts again although it crashed its workers")
         });
     }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -10,6 +10,7 @@
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::Step;
 use lavendergauge_lib::clock::Millis;
+use lavendergauge_lib::resource::Resources;
 use lavendergauge_stand_in::caller;
 use lavendergauge_stand_in::store;
 use lavendergauge_stand_in::worker;
@@ -234,6 +235,17 @@
             fleet.evacuate(data_centre, false);
         }
         Fault::Burst => burst(fleet, tally, seed).await,
+        Fault::Shrink(index, accelerators, _) => {
+            fleet.set_accelerators(index, accelerators);
+            time::sleep(duration).await;
+            fleet.set_accelerators(index, fleet::CAPACITY.accelerators);
+        }
+        Fault::CrashingJob => {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let job =
+                Job { payload: worker::crashing_payload(), ..load::draw(&mut rng, false, false) };
+            load::submit_job(fleet, tally, &mut rng, &job).await;
+        }
     }
 }
 
@@ -356,6 +368,13 @@
         self.judge().record_evacuation(self.now(), data_centre, out);
     }
 
+    /// Sets the accelerators of a worker.
+    fn set_accelerators(&self, index: usize, accelerators: u32) {
+        let capacity = Resources { accelerators, ..fleet::CAPACITY };
+        self.judge().record_capacity(self.now(), index, capacity);
+        self.workers[index].stand_in.set_accelerators(accelerators);
+    }
+
     /// Ends the faults that may still last.
     fn heal(&self) {
         self.store.set_fault(store::Fault::None);
--- a/soak/tests/planted_breaches.rs
+++ b/soak/tests/planted_breaches.rs
@@ -13,6 +13,7 @@
 use lavendergauge_soak::judge::Judge;
 use lavendergauge_soak::judge::Promise;
 use lavendergauge_stand_in::caller::Outcome;
+use lavendergauge_stand_in::worker;
 use lavendergauge_stand_in::worker::Event;
 
 const JOB: Id = Id(7);
@@ -248,3 +249,42 @@
         assert_eq!(broken_promises(&judge), expected);
     }
 }
+
+#[test]
+fn worker_over_shrunken_capacity() {
+    let mut judge = judge_with_accepted_job(&[step(2, 4)]);
+    start(&mut judge, CALM, 0, task(0, 0), 1);
+    let capacity = Resources { accelerators: 4, processors: 64_000, memory_mb: 1000 };
+    judge.record_capacity(CALM, 0, capacity);
+    start(&mut judge, Millis(CALM.0 + 3300), 0, task(0, 1), 1);
+    assert_eq!(broken_promises(&judge), []);
+    end(&mut judge, Millis(CALM.0 + 3300), 0, task(0, 1), "stopped");
+    start(&mut judge, Millis(CALM.0 + 3301), 0, task(0, 1), 2);
+    assert_eq!(broken_promises(&judge), [Promise::Capacity]);
+}
+
+#[test]
+fn task_crashes_on() {
+    let mut judge = judge();
+    let payload = worker::crashing_payload();
+    judge.record_submission(JOB, &payload, &[step(1, 1)], false);
+    judge.record_submit_outcome(CALM, CALM, JOB, "key", &outcome(200, None));
+    for run in 1..=6 {
+        assert_eq!(broken_promises(&judge), []);
+        let event = Event::Started { task: task(0, 0), run, payload: payload.clone() };
+        judge.record_event(CALM, 0, &event);
+        judge.record_event(CALM, 0, &Event::Crashed);
+    }
+    assert_eq!(broken_promises(&judge), [Promise::Contained]);
+}
+
+#[test]
+fn sound_job_given_up() {
+    let mut judge = judge_with_accepted_job(&[step(1, 1)]);
+    for run in 1..=2 {
+        start(&mut judge, CALM, 0, task(0, 0), run);
+        judge.record_event(CALM, 0, &Event::Crashed);
+    }
+    judge.record_state_outcome(CALM, CALM, JOB, &outcome(200, Some(State::Failed)));
+    assert_eq!(broken_promises(&judge), [Promise::Truth]);
+}
