--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -61,6 +61,8 @@
 const HEARTBEAT_LIMIT: usize = 64 << 10;
 /// Maximum number of crashes that are reported.
 const MAX_CRASHES: usize = 4;
+/// Time for which a crash is reported, in milliseconds; longer than any change of planner takes.
+const CRASH_MEMORY_MS: u64 = 60_000;
 /// Maximum number of concurrent connections to one listener.
 const CONNECTIONS: usize = 512;
 /// Time by which a lease is shortened to allow for the duration of calls, in milliseconds.
@@ -207,7 +209,9 @@
 
     fn report(&self) -> Report {
         let version = *self.version.borrow();
-        let state = self.state();
+        let mut state = self.state();
+        let now = clock::boot().0;
+        state.crashes.retain(|crash| now < crash.noticed_at + CRASH_MEMORY_MS);
         Report {
             node: self.name.clone(),
             clock: clock::boot().0,
