strike: workers that crash together are no evidence against a task

Cause: each crash was weighed by itself, and the agents of workers that take longer to return report later. Change: the agent reports when the worker was last known to be up. Workers that crashed or became silent within a second of each other, with suspects of other jobs, make a crash less conclusive; with three of them, no task is the cause.

--- a/lib/src/batch/crash.rs
+++ b/lib/src/batch/crash.rs
@@ -59,6 +59,8 @@
     pub incarnation: u64,
     /// Agent's clock when it noticed the crash, in milliseconds.
     pub noticed_at: u64,
+    /// Agent's clock when the worker was last known to be up, in milliseconds; the crash is later.
+    pub last_up_at: u64,
     /// The runs that existed or may have existed on the worker.
     pub casualties: Vec<Casualty>,
 }
@@ -79,6 +81,8 @@
 #[derive(Default)]
 pub struct Ledger {
     runs: BTreeMap<(Task, u32), Entry>,
+    /// When the worker was last known to be up.
+    last_up_at: u64,
 }
 
 impl Ledger {
@@ -90,6 +94,7 @@
 
     /// Records that the worker carried out a start.
     pub fn confirm_start(&mut self, task: Task, run: u32, now: u64) {
+        self.last_up_at = self.last_up_at.max(now);
         if let Some(entry) = self.runs.get_mut(&(task, run)).filter(|entry| !entry.is_confirmed) {
             *entry = Entry { first_seen: Some(now), last_seen: now, is_confirmed: true };
         }
@@ -119,6 +124,7 @@
     /// assert!(ledger.close(8, 9000).casualties.is_empty());
     /// ```
     pub fn apply_list(&mut self, running: &[ListedRun], sent_at: u64) {
+        self.last_up_at = self.last_up_at.max(sent_at);
         for row in running {
             let key = (row.task, row.run);
             let entry = self.runs.entry(key).or_insert(Entry {
@@ -160,6 +166,7 @@
                 worked_ms: entry.first_seen.map(|first_seen| entry.last_seen - first_seen),
             })
             .collect();
-        Crash { incarnation, noticed_at: now, casualties }
+        let last_up_at = std::mem::replace(&mut self.last_up_at, now);
+        Crash { incarnation, noticed_at: now, last_up_at, casualties }
     }
 }
--- a/lib/src/batch/strike.rs
+++ b/lib/src/batch/strike.rs
@@ -7,10 +7,11 @@
 //! fault. See docs/design/crashes.md.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use lavendergauge_derive::token;
+use lavendergauge_derive::value;
+use smallvec::SmallVec;
 
 use crate::batch::crash::Casualty;
 use crate::batch::crash::Crash;
@@ -36,16 +37,42 @@
 const UNSTABLE: Duration = Duration::from_secs(10);
 /// Number of crashes within [`UNSTABLE`] from which a worker counts as unstable.
 const UNSTABLE_COUNT: usize = 2;
+/// Longest time between the last signs of life of two workers that crash for a common cause: they are
+/// listed at least every 500 ms.
+const COINCIDENCE: Duration = Duration::from_secs(1);
+/// Number of workers that crash at a time from which no task is the cause.
+const COMMON_CAUSE_WORKERS: usize = 3;
 /// Maximum number of crashes that are remembered for each worker.
 const MAX_REMEMBERED: usize = 4;
 
 /// An earlier crash of a worker.
-#[token]
+#[value]
 pub struct Incident {
     /// When its agent noticed it.
     pub at: Millis,
-    /// Whether a task had just started there.
-    pub has_suspects: bool,
+    /// When the worker was last known to be up.
+    pub last_up: Millis,
+    /// Jobs of which tasks had just started there.
+    pub suspects: SmallVec<[Id; 2]>,
+}
+
+impl Incident {
+    fn new(now: Millis, report: &Report, crash: &Crash) -> Incident {
+        let to_own_clock = |at: u64| Millis(now.0.saturating_sub(report.clock.saturating_sub(at)));
+        let mut suspects: SmallVec<[Id; 2]> = crash
+            .casualties
+            .iter()
+            .filter(|casualty| casualty.is_suspect())
+            .map(|casualty| casualty.task.instance.job)
+            .collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        Incident {
+            at: to_own_clock(crash.noticed_at),
+            last_up: to_own_clock(crash.last_up_at),
+            suspects,
+        }
+    }
 }
 
 impl Worker {
@@ -59,7 +86,8 @@
     /// let bounds = Bounds { stop_grace_ms: 400, remote_permille: 3000, reclaim_ms: 2900, keep_ms: 120_000 };
     /// let mut tables = Tables::new(bounds, Millis(0));
     /// let key = tables.worker_at("vm-1", Millis(0));
-    /// tables.workers[key].incidents.push(Incident { at: Millis(500), has_suspects: true });
+    /// let incident = Incident { at: Millis(500), last_up: Millis(100), suspects: Default::default() };
+    /// tables.workers[key].incidents.push(incident);
     /// assert!(tables.workers[key].has_crashed(Millis(9000)));
     /// assert!(!tables.workers[key].has_crashed(Millis(10_500)));
     /// ```
@@ -77,7 +105,7 @@
     }
 
     fn has_crashed_unexplained(&self, now: Millis) -> bool {
-        self.recent_incidents(now).any(|incident| !incident.has_suspects)
+        self.recent_incidents(now).any(|incident| incident.suspects.is_empty())
     }
 }
 
@@ -112,8 +140,7 @@
             continue;
         }
         worker.crashed_incarnation = crash.incarnation;
-        let age = report.clock.saturating_sub(crash.noticed_at);
-        let at = Millis(now.0.saturating_sub(age));
+        let incident = Incident::new(now, report, crash);
         let casualties = one_for_each_task(crash);
         let suspects: Vec<&Casualty> =
             casualties.iter().copied().filter(|casualty| casualty.is_suspect()).collect();
@@ -123,11 +150,11 @@
             runs: crash.casualties.len(),
             suspects: suspects.iter().map(|casualty| (casualty.task, casualty.run)).collect(),
         });
-        let verdict = verdict(tables, at, key, &suspects);
+        let verdict = verdict(tables, key, &incident);
         for casualty in casualties {
             record_crash(tables, now, casualty, verdict);
         }
-        remember(&mut tables.workers[key], at, crash);
+        remember(&mut tables.workers[key], incident);
     }
 }
 
@@ -149,22 +176,40 @@
 /// How conclusive a crash is about the tasks that had just started on the worker.
 #[token]
 enum Verdict {
-    /// The worker crashes for reasons of its own.
-    Unstable,
-    /// Tasks of several jobs had just started, or workers crash for other reasons elsewhere.
+    /// The worker crashes for reasons of its own, or many crash for a common one.
+    OtherCause,
+    /// Tasks of several jobs had just started, or another worker crashes at the same time or for
+    /// reasons of its own.
     Shared,
     /// Only tasks of one job had just started.
     Alone,
 }
 
-fn verdict(tables: &Tables, at: Millis, key: key::Worker, suspects: &[&Casualty]) -> Verdict {
-    if tables.workers[key].is_unstable(at) {
-        return Verdict::Unstable;
+fn verdict(tables: &Tables, key: key::Worker, incident: &Incident) -> Verdict {
+    let others = || tables.workers.iter().filter(|(other, _)| *other != key);
+    let together = others().filter(|(_, worker)| has_crashed_with(worker, incident)).count();
+    let is_elsewhere = others().any(|(_, worker)| worker.has_crashed_unexplained(incident.at));
+    if COMMON_CAUSE_WORKERS <= together + 1 || tables.workers[key].is_unstable(incident.at) {
+        Verdict::OtherCause
+    } else if incident.suspects.len() == 1 && together == 0 && !is_elsewhere {
+        Verdict::Alone
+    } else {
+        Verdict::Shared
     }
-    let jobs: BTreeSet<Id> = suspects.iter().map(|casualty| casualty.task.instance.job).collect();
-    let crash_unexplained =
-        tables.workers.values().any(|worker| worker.has_crashed_unexplained(at));
-    if jobs.len() == 1 && !crash_unexplained { Verdict::Alone } else { Verdict::Shared }
+}
+
+/// Tells whether another worker crashed at the time of an incident, or became silent then, and none of
+/// the suspected jobs can be the cause there.
+fn has_crashed_with(other: &Worker, incident: &Incident) -> bool {
+    let is_near =
+        |at: Millis| at.since(incident.last_up).max(incident.last_up.since(at)) < COINCIDENCE;
+    let is_silent =
+        !other.is_responsive && other.is_reachable && other.last_answer.is_some_and(is_near);
+    let has_crashed = other.incidents.iter().any(|earlier| {
+        is_near(earlier.last_up)
+            && !earlier.suspects.iter().any(|job| incident.suspects.contains(job))
+    });
+    is_silent || has_crashed
 }
 
 /// Counts a crash against a task, once for each run.
@@ -180,7 +225,7 @@
         crashes.strikes = match verdict {
             // An unconfirmed start may not have happened, so it is reason for caution only.
             _ if !casualty.is_confirmed => crashes.strikes.max(1),
-            Verdict::Unstable => crashes.strikes.max(1),
+            Verdict::OtherCause => crashes.strikes.max(1),
             Verdict::Alone if crashes.strikes != 0 => crashes.strikes + 2,
             Verdict::Shared | Verdict::Alone => crashes.strikes + 1,
         };
@@ -189,12 +234,11 @@
     tables.touch(casualty.task.instance.job);
 }
 
-fn remember(worker: &mut Worker, at: Millis, crash: &Crash) {
+fn remember(worker: &mut Worker, incident: Incident) {
     if worker.incidents.len() == MAX_REMEMBERED {
         worker.incidents.remove(0);
     }
-    let has_suspects = crash.casualties.iter().any(Casualty::is_suspect);
-    worker.incidents.push(Incident { at, has_suspects });
+    worker.incidents.push(incident);
 }
 
 /// Clears a task of its strikes if its listed run has stayed at work; `reported_at` is when the list
--- a/lib/tests/batch_crash.rs
+++ b/lib/tests/batch_crash.rs
@@ -154,3 +154,28 @@
         }
     }
 }
+
+#[test]
+fn common_cause() {
+    // Sound jobs whose workers crashed beside many others twice right after their start were given up.
+    for seed in 0..40 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut sim = Simulation::new(4);
+        let mut ids = Vec::new();
+        for _ in 0..3 {
+            ids.extend((0..8).map(|_| sim.submit("plain", "brno", vec![step(1, 8, 2000)], 2000)));
+            sim.run_for(rng.random_range(100..400));
+            for _ in 0..5 {
+                let index = rng.random_range(0..12);
+                if sim.workers[index].down_until <= sim.now {
+                    sim.crash(index);
+                }
+            }
+            sim.run_for(DOWN_MS + rng.random_range(100..400));
+        }
+        assert!(sim.run_until_ended(60_000), "seed {seed}");
+        for id in ids {
+            assert_eq!(sim.state(id), Some(State::Completed), "seed {seed}: {id}");
+        }
+    }
+}
