reservation: two steps do not reserve what the same run frees

Cause: without the switches shortage and worker_trust, the search for a reservation adds what ending runs free to what is not reserved, so that two steps reserve the same capacity. Each is blocked by the other's reservation until both expire. The same was seen and fixed under these switches only. Using the other search for all changes the baseline of urgent_burst and patient_jobs_progress, which compare it with the switches (tried, both failed, reverted). Change: a step reserves only what fits beside the other reservations on its workers. Measured: overlapping_reservations failed before and passes.

--- a/lib/src/batch/reservation.rs
+++ b/lib/src/batch/reservation.rs
@@ -80,7 +80,10 @@
     else {
         return;
     };
-    reserve(tables, now, availability, candidate, step, plan.placements, events);
+    // Two reservations that share what a run will free block each other until they expire.
+    if availability.can_reserve(tables, step, &plan.placements) {
+        reserve(tables, now, availability, candidate, step, plan.placements, events);
+    }
 }
 
 /// Steps for which preemption is examined in one tick.
--- a/lib/tests/batch_place.rs
+++ b/lib/tests/batch_place.rs
@@ -98,3 +98,17 @@
     assert!(begun(0).max().unwrap() + 500 <= begun(1).min().unwrap());
     assert_eq!(sim.state(id), Some(State::Completed));
 }
+
+#[test]
+fn overlapping_reservations() {
+    // Two gangs reserved what the same runs would free, and neither started before both reservations
+    // had expired.
+    let mut sim = Simulation::new(2);
+    sim.submit("plain", "praha", vec![step(6, 8, 5000)], 5000);
+    sim.run_for(100);
+    let small = Step { gang: true, ..step(5, 4, 500) };
+    let first = sim.submit("plain", "brno", vec![small], 500);
+    let large = Step { gang: true, ..step(6, 8, 500) };
+    let second = sim.submit("plain", "brno", vec![large], 500);
+    assert!(sim.run_until_ended(12_000), "{:?} {:?}", sim.state(first), sim.state(second));
+}
