reservation: reservations that a shrunken worker cannot hold are dropped

Cause: two steps may reserve parts of one worker. When it shrinks, neither finds enough beside the other's reservation, and both wait until they expire, 20 s later. Change: before each round of placement, reservations are added up from the oldest on, and those that exceed a worker's capacity are dropped.

--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lavendergauge_derive::token;
+use smallvec::SmallVec;
 
 use crate::batch::event::Event;
 use crate::batch::headroom::Headroom;
@@ -52,6 +53,7 @@
             return;
         }
     }
+    drop_outgrown_reservations(tables);
     let mut availability = Availability::of(tables, now);
     refill::place_refused(tables, now, &availability, events);
     let covered = rank::covered(tables);
@@ -127,6 +129,26 @@
     }
 }
 
+/// Drops reservations that do not fit beside older ones any more because their workers have shrunk.
+fn drop_outgrown_reservations(tables: &mut Tables) {
+    let mut instances: SmallVec<[(Millis, StepInstance); 8]> = tables
+        .reservations
+        .iter()
+        .map(|(instance, reservation)| (reservation.since, *instance))
+        .collect();
+    instances.sort_unstable();
+    let mut kept = Availability::default();
+    for (_, instance) in instances {
+        let Some(reservation) = tables.reservations.get(&instance) else { continue };
+        let Some(step) = tables.step(instance) else { continue };
+        if kept.can_reserve(tables, step, &reservation.placements) {
+            kept.reserve(step, &reservation.placements);
+        } else {
+            tables.reservations.remove(&instance);
+        }
+    }
+}
+
 /// How many of a step's waiting tasks were placed.
 #[token]
 enum Placed {
--- a/lib/tests/batch_capacity.rs
+++ b/lib/tests/batch_capacity.rs
@@ -82,3 +82,22 @@
         assert!(sim.run_until_ended(120_000), "seed {seed}");
     }
 }
+
+#[test]
+fn outgrown_reservations() {
+    // Two gangs shared a worker that shrank, and blocked each other until their reservations expired.
+    for shrunken in 0..3 {
+        let mut sim = Simulation::new(1);
+        sim.tables.policy.worker_trust = true;
+        sim.submit("plain", "praha", vec![step(3, 8, 5000)], 5000);
+        sim.run_for(100);
+        let gang = Step { gang: true, ..step(3, 4, 500) };
+        for _ in 0..2 {
+            sim.submit("plain", "brno", vec![gang.clone()], 500);
+        }
+        sim.run_for(4500);
+        assert_eq!(sim.tables.reservations.len(), 2);
+        sim.workers[shrunken].accelerators = 4;
+        assert!(sim.run_until_ended(5000), "worker {shrunken}");
+    }
+}
