strike: crashes that are explained do not make a worker unstable

Change: earlier crashes with the same suspects, or with suspects of a job that has failed since, do not count; nor do they count as crashes for a common cause. Measured: same_worker failed before and passes.

--- a/lib/src/batch/strike.rs
+++ b/lib/src/batch/strike.rs
@@ -22,6 +22,7 @@
 use crate::batch::observe::Change;
 use crate::batch::observe::Report;
 use crate::batch::progress::Crashes;
+use crate::batch::progress::Outcome;
 use crate::batch::table::Run;
 use crate::batch::table::Tables;
 use crate::batch::table::TaskState;
@@ -99,11 +100,6 @@
         self.incidents.iter().filter(move |incident| now.since(incident.at) < UNSTABLE)
     }
 
-    /// Tells whether the worker crashes for reasons of its own.
-    fn is_unstable(&self, now: Millis) -> bool {
-        UNSTABLE_COUNT <= self.recent_incidents(now).count() || self.has_crashed_unexplained(now)
-    }
-
     fn has_crashed_unexplained(&self, now: Millis) -> bool {
         self.recent_incidents(now).any(|incident| incident.suspects.is_empty())
     }
@@ -187,9 +183,10 @@
 
 fn verdict(tables: &Tables, key: key::Worker, incident: &Incident) -> Verdict {
     let others = || tables.workers.iter().filter(|(other, _)| *other != key);
-    let together = others().filter(|(_, worker)| has_crashed_with(worker, incident)).count();
+    let together =
+        others().filter(|(_, worker)| has_crashed_with(tables, worker, incident)).count();
     let is_elsewhere = others().any(|(_, worker)| worker.has_crashed_unexplained(incident.at));
-    if COMMON_CAUSE_WORKERS <= together + 1 || tables.workers[key].is_unstable(incident.at) {
+    if COMMON_CAUSE_WORKERS <= together + 1 || is_unstable(tables, &tables.workers[key], incident) {
         Verdict::OtherCause
     } else if incident.suspects.len() == 1 && together == 0 && !is_elsewhere {
         Verdict::Alone
@@ -198,17 +195,33 @@
     }
 }
 
+/// Tells whether a worker crashes for reasons of its own.
+fn is_unstable(tables: &Tables, worker: &Worker, incident: &Incident) -> bool {
+    let independent = worker
+        .recent_incidents(incident.at)
+        .filter(|earlier| is_independent(tables, earlier, incident));
+    UNSTABLE_COUNT <= independent.count() || worker.has_crashed_unexplained(incident.at)
+}
+
+/// Tells whether an earlier crash had another cause than the suspects of an incident. One whose suspects
+/// include a job that has failed since is explained by that.
+fn is_independent(tables: &Tables, earlier: &Incident, incident: &Incident) -> bool {
+    let has_failed =
+        |id: &Id| tables.jobs.get(id).is_some_and(|job| job.outcome == Some(Outcome::Failed));
+    !earlier.suspects.iter().any(|id| incident.suspects.contains(id) || has_failed(id))
+}
+
 /// Tells whether another worker crashed at the time of an incident, or became silent then, and none of
 /// the suspected jobs can be the cause there.
-fn has_crashed_with(other: &Worker, incident: &Incident) -> bool {
+fn has_crashed_with(tables: &Tables, other: &Worker, incident: &Incident) -> bool {
     let is_near =
         |at: Millis| at.since(incident.last_up).max(incident.last_up.since(at)) < COINCIDENCE;
     let is_silent =
         !other.is_responsive && other.is_reachable && other.last_answer.is_some_and(is_near);
-    let has_crashed = other.incidents.iter().any(|earlier| {
-        is_near(earlier.last_up)
-            && !earlier.suspects.iter().any(|job| incident.suspects.contains(job))
-    });
+    let has_crashed = other
+        .incidents
+        .iter()
+        .any(|earlier| is_near(earlier.last_up) && is_independent(tables, earlier, incident));
     is_silent || has_crashed
 }
 
--- a/lib/tests/batch_crash.rs
+++ b/lib/tests/batch_crash.rs
@@ -179,3 +179,18 @@
         }
     }
 }
+
+#[test]
+fn same_worker() {
+    // The second task that crashed the only free worker did so five times: the worker counted as unstable.
+    let mut sim = Simulation::new(1);
+    let busy = Step { max_per_worker: 1, ..step(2, 8, 60_000) };
+    sim.submit("plain", "praha", vec![busy], 60_000);
+    sim.run_for(100);
+    for _ in 0..2 {
+        let id = submit_deadly(&mut sim, "plain", vec![step(1, 8, 1000)]);
+        sim.run_for(2 * DOWN_MS + 500);
+        assert_eq!(sim.state(id), Some(State::Failed));
+        assert_eq!(start_count(&sim, task(id, 0)), 2);
+    }
+}
