--- a/lib/tests/batch_crash.rs
+++ b/lib/tests/batch_crash.rs
@@ -194,3 +194,13 @@
         assert_eq!(start_count(&sim, task(id, 0)), 2);
     }
 }
+
+#[test]
+fn crashing_gang() {
+    // Crashes of three workers at a time by one gang are no common cause.
+    let mut sim = Simulation::new(2);
+    let id = submit_deadly(&mut sim, "plain", vec![Step { gang: true, ..step(3, 8, 1000) }]);
+    assert!(sim.run_until_ended(30_000));
+    assert_eq!(sim.state(id), Some(State::Failed));
+    assert_eq!(start_count(&sim, task(id, 0)), 2);
+}
