strike: a task that has worked for long is no cause beside tasks that had just started

Cause: every crash of a worker counted against every run there, and five of them end the retries. Change: a run that had worked for a second counts only if no task had just started on the worker. Crashes and silent workers are kept in lists of their own, so that a crash no longer walks all workers; workers in quarantine too. Each crash is logged with its evidence, and each change of a worker's capacity. A job's first failed task is found in one walk instead of two. Names are the field's.

--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -122,7 +122,7 @@
             "event=worker-crash-noticed worker={} incarnation={} runs={}",
             worker.id,
             crash.incarnation,
-            crash.casualties.len()
+            crash.runs.len()
         );
         if self.crashes.len() == MAX_CRASHES {
             self.crashes.pop_front();
--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -456,14 +456,15 @@
     match change {
         Change::Joined(id) => log::info!("event=worker-known worker={id}"),
         Change::Leaving(id) => log::info!("event=worker-leaving worker={id}"),
-        Change::Crashed { node, incarnation, runs, suspects } => {
-            counter!("lavendergauge_worker_crashes_total").increment(1);
+        Change::Crashed { node, incarnation, runs, suspects, evidence } => {
+            let evidence = evidence.name();
+            counter!("lavendergauge_worker_crashes_total", "evidence" => evidence).increment(1);
             counter!("lavendergauge_runs_lost_in_crashes_total").increment(*runs as u64);
             let names: Vec<String> =
                 suspects.iter().map(|(task, run)| format!("{task}/{run}")).collect();
             log::warn!(
                 "event=worker-crashed worker={node} incarnation={incarnation} runs={runs} \
-                 suspects={}",
+                 suspects={} evidence={evidence}",
                 Value(&names.join(","))
             );
         }
@@ -477,7 +478,21 @@
         Change::Lost(task, run, cause) => {
             log::info!("event=run-over task={task} run={run} cause=\"{cause}\"");
         }
-        Change::Acquitted(task, run) => log::info!("event=task-acquitted task={task} run={run}"),
+        Change::Cleared(task, run) => log::info!("event=task-cleared task={task} run={run}"),
+        Change::Resized { node, before, after, is_overcommitted } => {
+            counter!("lavendergauge_workers_resized_total").increment(1);
+            log::info!(
+                "event=worker-resized worker={node} accelerators={} processors={} memory_mb={} \
+                 accelerators_before={} processors_before={} memory_mb_before={} \
+                 overcommitted={is_overcommitted}",
+                after.accelerators,
+                after.processors,
+                after.memory_mb,
+                before.accelerators,
+                before.processors,
+                before.memory_mb
+            );
+        }
         Change::Unexpected(task, run) => log::warn!("event=run-stray task={task} run={run}"),
     }
 }
--- a/lib/src/batch/crash.rs
+++ b/lib/src/batch/crash.rs
@@ -23,11 +23,11 @@
 /// A run that the crash of its worker has ended.
 #[value]
 #[derive(Serialize, Deserialize)]
-pub struct Casualty {
+pub struct Run {
     /// The task.
     pub task: Task,
     /// Number of the run.
-    pub run: u32,
+    pub number: u32,
     /// Whether the worker certainly started the run.
     pub is_confirmed: bool,
     /// Time for which the run certainly existed, in milliseconds; `None` if it is older than the
@@ -35,18 +35,18 @@
     pub worked_ms: Option<u64>,
 }
 
-impl Casualty {
-    /// Tells whether the run may have caused the crash: it had just started, or may have.
+impl Run {
+    /// Tells whether the run had just started, or may have, so that it may have caused the crash.
     ///
     /// ```
-    /// use lavendergauge_lib::batch::crash::Casualty;
+    /// use lavendergauge_lib::batch::crash::Run;
     /// use lavendergauge_lib::batch::job::Task;
     /// let task = Task::parse("00000000000000ff.0.0.1").unwrap();
-    /// let young = Casualty { task, run: 1, is_confirmed: true, worked_ms: Some(20) };
-    /// assert!(young.is_suspect());
-    /// assert!(!Casualty { worked_ms: Some(5000), ..young }.is_suspect());
+    /// let young = Run { task, number: 1, is_confirmed: true, worked_ms: Some(20) };
+    /// assert!(young.has_just_started());
+    /// assert!(!Run { worked_ms: Some(5000), ..young }.has_just_started());
     /// ```
-    pub fn is_suspect(&self) -> bool {
+    pub fn has_just_started(&self) -> bool {
         self.worked_ms.is_some_and(|worked_ms| worked_ms < PROBATION.as_millis() as u64)
     }
 }
@@ -62,7 +62,7 @@
     /// Agent's clock when the worker was last known to be up, in milliseconds; the crash is later.
     pub last_up_at: u64,
     /// The runs that existed or may have existed on the worker.
-    pub casualties: Vec<Casualty>,
+    pub runs: Vec<Run>,
 }
 
 /// What an agent knows about one run.
@@ -120,8 +120,8 @@
     /// let row = ListedRun { task, run: 1, checkpoint: String::new(), percent: 0, measure: 0 };
     /// ledger.apply_list(&[row], 600);
     /// let crash = ledger.close(7, 3000);
-    /// assert_eq!(crash.casualties[0].worked_ms, Some(490));
-    /// assert!(ledger.close(8, 9000).casualties.is_empty());
+    /// assert_eq!(crash.runs[0].worked_ms, Some(490));
+    /// assert!(ledger.close(8, 9000).runs.is_empty());
     /// ```
     pub fn apply_list(&mut self, running: &[ListedRun], sent_at: u64) {
         self.last_up_at = self.last_up_at.max(sent_at);
@@ -157,16 +157,16 @@
 
     /// Returns the crash of the present incarnation, and starts anew for the next one.
     pub fn close(&mut self, incarnation: u64, now: u64) -> Crash {
-        let casualties = std::mem::take(&mut self.runs)
+        let runs = std::mem::take(&mut self.runs)
             .into_iter()
-            .map(|((task, run), entry)| Casualty {
+            .map(|((task, number), entry)| Run {
                 task,
-                run,
+                number,
                 is_confirmed: entry.is_confirmed,
                 worked_ms: entry.first_seen.map(|first_seen| entry.last_seen - first_seen),
             })
             .collect();
         let last_up_at = std::mem::replace(&mut self.last_up_at, now);
-        Crash { incarnation, noticed_at: now, last_up_at, casualties }
+        Crash { incarnation, noticed_at: now, last_up_at, runs }
     }
 }
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -13,6 +13,7 @@
 use crate::batch::run_time;
 use crate::batch::speed;
 use crate::batch::strike;
+use crate::batch::strike::Evidence;
 use crate::batch::table;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
@@ -178,6 +179,19 @@
         runs: usize,
         /// Runs that had just started, and so may have caused the crash.
         suspects: Vec<(Task, u32)>,
+        /// What the crash shows about them.
+        evidence: Evidence,
+    },
+    /// A worker announces another capacity.
+    Resized {
+        /// Name of the agent.
+        node: String,
+        /// The earlier capacity.
+        before: Resources,
+        /// The present one.
+        after: Resources,
+        /// Whether its runs need more than that.
+        is_overcommitted: bool,
     },
     /// A worker is avoided because of what an earlier leader has learned.
     Recalled {
@@ -193,7 +207,7 @@
     /// A run has ended although no worker listed its end, for a reason.
     Lost(Task, u32, &'static str),
     /// A task that may have crashed workers has shown that it does not.
-    Acquitted(Task, u32),
+    Cleared(Task, u32),
     /// A worker has a run that is not expected there.
     Unexpected(Task, u32),
 }
@@ -219,6 +233,7 @@
     worker.agent_clock = report.clock;
     worker.clock_read = now;
     worker.is_responsive = report.is_worker_responsive;
+    tables.crashes.record_answer(key, report.is_worker_responsive);
     worker.is_reachable = !report.is_stopping;
     worker.session = report.session;
     tables.changed_workers.insert(key);
@@ -313,7 +328,15 @@
     worker.data_centre = announcement.data_centre.clone();
     worker.rack = announcement.rack.clone();
     worker.labels = announcement.labels.clone();
-    worker.capacity = announcement.capacity();
+    let before = std::mem::replace(&mut worker.capacity, announcement.capacity());
+    if !has_new_incarnation && before != worker.capacity {
+        changes.push(Change::Resized {
+            node: worker.node.clone(),
+            before,
+            after: worker.capacity,
+            is_overcommitted: worker.is_overcommitted_without(Resources::default()),
+        });
+    }
     if worker.ready || has_new_incarnation {
         worker.leaves_at = None;
     }
@@ -592,9 +615,9 @@
         let seen_at = run.seen_at;
         if is_suspected
             && let Some(task_state) = tables.task_state_mut(row.task)
-            && strike::acquit(task_state, seen_at, reported_at)
+            && strike::clear(task_state, seen_at, reported_at)
         {
-            changes.push(Change::Acquitted(row.task, row.run));
+            changes.push(Change::Cleared(row.task, row.run));
             tables.touch(row.task.instance.job);
         }
         if let Some(live) = live.filter(|_| has_progressed) {
--- a/lib/src/batch/quarantine.rs
+++ b/lib/src/batch/quarantine.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use lavendergauge_derive::row;
+use smallvec::SmallVec;
 
 use crate::batch::assign;
 use crate::batch::job::Id;
@@ -31,32 +32,38 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 
 /// Tells whether a run is one by which its worker is in quarantine.
-fn is_on_trial(tables: &Tables, run: &Run) -> bool {
+fn is_on_probation(tables: &Tables, run: &Run) -> bool {
     !matches!(run.phase, Phase::Stopping(_))
         && tables.task_state(run.task).is_some_and(strike::is_suspected)
 }
 
 /// Puts the worker of a new run into quarantine if the run's task may crash it.
 pub(super) fn note_inserted(tables: &mut Tables, key: key::Run) {
-    let Some(run) = tables.runs.get(key).filter(|run| is_on_trial(tables, run)) else { return };
+    let Some(run) = tables.runs.get(key).filter(|run| is_on_probation(tables, run)) else { return };
     let (worker, job) = (run.worker, run.task.instance.job);
-    if let Some(worker) = tables.workers.get_mut(worker) {
-        worker.quarantine = Some(job);
+    if let Some(row) = tables.workers.get_mut(worker) {
+        row.quarantine = Some(job);
+        tables.quarantined.insert(worker);
     }
 }
 
 /// Releases the workers on which no suspected task runs any more.
 pub(super) fn release(tables: &mut Tables) {
-    let is_over = |worker: &Worker| {
-        worker.quarantine.is_some_and(|job| {
+    let is_over = |key: &key::Worker| {
+        tables.workers.get(*key).is_none_or(|worker| {
             let mut runs = worker.runs.iter().filter_map(|key| tables.runs.get(*key));
-            !runs.any(|run| run.task.instance.job == job && is_on_trial(tables, run))
+            !runs.any(|run| {
+                worker.quarantine == Some(run.task.instance.job) && is_on_probation(tables, run)
+            })
         })
     };
-    let over: Vec<key::Worker> =
-        tables.workers.iter().filter(|(_, worker)| is_over(worker)).map(|(key, _)| key).collect();
+    let over: SmallVec<[key::Worker; 8]> =
+        tables.quarantined.iter().copied().filter(is_over).collect();
     for key in over {
-        tables.workers[key].quarantine = None;
+        tables.quarantined.remove(&key);
+        if let Some(worker) = tables.workers.get_mut(key) {
+            worker.quarantine = None;
+        }
     }
 }
 
@@ -100,8 +107,9 @@
     now.since(crashed_at.max(tables.took_over))
 }
 
-fn has_trial(tables: &Tables, job: Id) -> bool {
-    tables.workers.values().any(|worker| worker.quarantine == Some(job))
+/// Tells whether suspected tasks of a job are on probation.
+fn has_probation(tables: &Tables, job: Id) -> bool {
+    tables.quarantined.iter().any(|key| tables.workers[*key].quarantine == Some(job))
 }
 
 /// Returns the work that a crash of a worker would end, in core-milliseconds.
@@ -121,7 +129,7 @@
     most: u32,
 ) -> Option<(key::Worker, u32)> {
     let most = most.min(suspects.waiting.len() as u32);
-    if most == 0 || has_trial(tables, suspects.instance.job) {
+    if most == 0 || has_probation(tables, suspects.instance.job) {
         return None;
     }
     let eligible = place::eligible(tables, now, availability, suspects.instance, step);
@@ -134,7 +142,7 @@
     let idle = holding
         .iter()
         .filter(|(key, _)| tables.workers[*key].runs.is_empty())
-        .max_by_key(|(key, holds)| (!tables.workers[*key].has_crashed(now), *holds, Reverse(*key)));
+        .max_by_key(|(key, holds)| (!tables.crashes.has_crashed(*key, now), *holds, Reverse(*key)));
     if idle.is_some() || waited(tables, now, suspects) < PATIENCE {
         return idle.copied();
     }
@@ -174,7 +182,7 @@
         place::pack_gang(tables, availability, candidate.instance, step, group).is_some()
     };
     let steady: Vec<key::Worker> =
-        idle.iter().copied().filter(|key| !tables.workers[*key].has_crashed(now)).collect();
+        idle.iter().copied().filter(|key| !tables.crashes.has_crashed(*key, now)).collect();
     if fits(&steady) {
         Pool::Idle(steady)
     } else if fits(&idle) {
--- a/lib/src/batch/strike.rs
+++ b/lib/src/batch/strike.rs
@@ -7,13 +7,16 @@
 //! fault. See docs/design/crashes.md.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
+use lavendergauge_derive::row;
 use lavendergauge_derive::token;
 use lavendergauge_derive::value;
 use smallvec::SmallVec;
 
-use crate::batch::crash::Casualty;
+use crate::batch::crash;
 use crate::batch::crash::Crash;
 use crate::batch::crash::PROBATION;
 use crate::batch::job::Id;
@@ -25,13 +28,12 @@
 use crate::batch::progress::Outcome;
 use crate::batch::table::Tables;
 use crate::batch::table::TaskState;
-use crate::batch::table::Worker;
 use crate::clock::Millis;
 use crate::key;
 
 /// Strikes from which a task is given up.
 const MAX_STRIKES: u32 = 3;
-/// Crashes of workers from which a task is given up whatever its strikes.
+/// Crashes that a task may have caused from which it is given up whatever its strikes.
 const MAX_CRASHES: u32 = 5;
 /// Time for which a crash makes a worker's next one less conclusive.
 const UNSTABLE: Duration = Duration::from_secs(10);
@@ -42,65 +44,94 @@
 const COINCIDENCE: Duration = Duration::from_secs(1);
 /// Number of workers that crash at a time from which no task is the cause.
 const COMMON_CAUSE_WORKERS: usize = 3;
-/// Maximum number of crashes that are remembered for each worker.
-const MAX_REMEMBERED: usize = 4;
+/// Time for which a crash is remembered. Workers that crash together may return seconds apart.
+const MEMORY: Duration = Duration::from_secs(30);
+/// Maximum number of crashes that are remembered.
+const MAX_INCIDENTS: usize = 64;
 
 /// An earlier crash of a worker.
 #[value]
-pub struct Incident {
-    /// When its agent noticed it.
-    pub at: Millis,
+struct Incident {
+    worker: key::Worker,
+    /// When the worker's agent noticed it.
+    at: Millis,
     /// When the worker was last known to be up.
-    pub last_up: Millis,
+    last_up: Millis,
     /// Jobs of which tasks had just started there.
-    pub suspects: SmallVec<[Id; 2]>,
+    suspects: SmallVec<[Id; 2]>,
 }
 
 impl Incident {
-    fn new(now: Millis, report: &Report, crash: &Crash) -> Incident {
+    fn new(now: Millis, worker: key::Worker, report: &Report, crash: &Crash) -> Incident {
         let to_own_clock = |at: u64| Millis(now.0.saturating_sub(report.clock.saturating_sub(at)));
         let mut suspects: SmallVec<[Id; 2]> = crash
-            .casualties
+            .runs
             .iter()
-            .filter(|casualty| casualty.is_suspect())
-            .map(|casualty| casualty.task.instance.job)
+            .filter(|run| run.has_just_started())
+            .map(|run| run.task.instance.job)
             .collect();
         suspects.sort_unstable();
         suspects.dedup();
         Incident {
+            worker,
             at: to_own_clock(crash.noticed_at),
             last_up: to_own_clock(crash.last_up_at),
             suspects,
         }
     }
+
+    fn is_recent(&self, now: Millis) -> bool {
+        now.since(self.at) < UNSTABLE
+    }
+
+    /// Tells whether no task had just started on the worker, so that it crashed by itself.
+    fn is_unexplained(&self) -> bool {
+        self.suspects.is_empty()
+    }
 }
 
-impl Worker {
-    /// Tells whether the worker has crashed within the last ten seconds.
-    ///
-    /// ```
-    /// use lavendergauge_lib::batch::config::Bounds;
-    /// use lavendergauge_lib::batch::strike::Incident;
-    /// use lavendergauge_lib::batch::table::Tables;
-    /// use lavendergauge_lib::clock::Millis;
-    /// let bounds = Bounds { stop_grace_ms: 400, remote_permille: 3000, reclaim_ms: 2900, keep_ms: 120_000 };
-    /// let mut tables = Tables::new(bounds, Millis(0));
-    /// let key = tables.worker_at("vm-1", Millis(0));
-    /// let incident = Incident { at: Millis(500), last_up: Millis(100), suspects: Default::default() };
-    /// tables.workers[key].incidents.push(incident);
-    /// assert!(tables.workers[key].has_crashed(Millis(9000)));
-    /// assert!(!tables.workers[key].has_crashed(Millis(10_500)));
-    /// ```
-    pub fn has_crashed(&self, now: Millis) -> bool {
-        self.recent_incidents(now).next().is_some()
+/// What the recent crashes on all workers show.
+#[row]
+#[derive(Default)]
+pub struct State {
+    /// The newest crashes, in the order of the reports.
+    incidents: VecDeque<Incident>,
+    /// Workers that do not answer their agents.
+    silent: BTreeSet<key::Worker>,
+}
+
+impl State {
+    /// Tells whether a worker has crashed within the last seconds.
+    pub(super) fn has_crashed(&self, worker: key::Worker, now: Millis) -> bool {
+        self.recent_on(worker, now).next().is_some()
+    }
+
+    /// Records whether a worker answers its agent.
+    pub(super) fn record_answer(&mut self, worker: key::Worker, answers: bool) {
+        if answers {
+            self.silent.remove(&worker);
+        } else {
+            self.silent.insert(worker);
+        }
     }
 
-    fn recent_incidents(&self, now: Millis) -> impl Iterator<Item = &Incident> {
-        self.incidents.iter().filter(move |incident| now.since(incident.at) < UNSTABLE)
+    /// Returns the workers that do not answer their agents.
+    pub fn silent(&self) -> &BTreeSet<key::Worker> {
+        &self.silent
     }
 
-    fn has_crashed_unexplained(&self, now: Millis) -> bool {
-        self.recent_incidents(now).any(|incident| incident.suspects.is_empty())
+    fn recent_on(&self, worker: key::Worker, now: Millis) -> impl Iterator<Item = &Incident> {
+        self.incidents
+            .iter()
+            .filter(move |incident| incident.worker == worker && incident.is_recent(now))
+    }
+
+    fn remember(&mut self, now: Millis, incident: Incident) {
+        self.incidents.retain(|earlier| now.since(earlier.at) < MEMORY);
+        if self.incidents.len() == MAX_INCIDENTS {
+            self.incidents.pop_front();
+        }
+        self.incidents.push_back(incident);
     }
 }
 
@@ -112,10 +143,10 @@
 /// use lavendergauge_lib::batch::strike;
 /// use lavendergauge_lib::batch::table::TaskState;
 /// let crashes = Crashes { count: 2, strikes: 3, run: 2 };
-/// let guilty = TaskState { crashes, ..TaskState::default() };
-/// assert!(strike::is_guilty(&guilty, &Step::default()));
+/// let task_state = TaskState { crashes, ..TaskState::default() };
+/// assert!(strike::is_at_fault(&task_state, &Step::default()));
 /// ```
-pub fn is_guilty(task_state: &TaskState, step: &Step) -> bool {
+pub fn is_at_fault(task_state: &TaskState, step: &Step) -> bool {
     let Crashes { count, strikes, .. } = task_state.crashes;
     // A task that runs until it is cancelled sees workers crash for other reasons in time.
     MAX_STRIKES <= strikes || (MAX_CRASHES <= count && !step.long_running)
@@ -140,71 +171,88 @@
             continue;
         }
         worker.crashed_incarnation = crash.incarnation;
-        let incident = Incident::new(now, report, crash);
-        let casualties = one_for_each_task(crash);
-        let suspects: Vec<&Casualty> =
-            casualties.iter().copied().filter(|casualty| casualty.is_suspect()).collect();
+        let node = worker.node.clone();
+        let incident = Incident::new(now, key, report, crash);
+        let runs = one_for_each_task(crash);
+        let evidence = evidence(tables, &incident);
+        let suspects = runs.iter().filter(|run| run.has_just_started());
         changes.push(Change::Crashed {
-            node: worker.node.clone(),
+            node,
             incarnation: crash.incarnation,
-            runs: crash.casualties.len(),
-            suspects: suspects.iter().map(|casualty| (casualty.task, casualty.run)).collect(),
+            runs: crash.runs.len(),
+            suspects: suspects.map(|run| (run.task, run.number)).collect(),
+            evidence,
         });
-        let verdict = verdict(tables, key, &incident);
-        for casualty in casualties {
-            record_crash(tables, now, casualty, verdict);
+        for run in runs {
+            record_crash(tables, now, run, &incident, evidence);
         }
-        remember(&mut tables.workers[key], incident);
+        tables.crashes.remember(now, incident);
     }
 }
 
-/// Returns the most certain casualty of each task.
+/// Returns the most certain run of each task.
 ///
 /// A task has several if answers to its starts were lost, but the crash counts once against it.
-fn one_for_each_task(crash: &Crash) -> Vec<&Casualty> {
-    let mut by_task: BTreeMap<Task, &Casualty> = BTreeMap::new();
-    for casualty in &crash.casualties {
-        let rank = |casualty: &Casualty| (casualty.is_confirmed, casualty.run);
-        let known = by_task.entry(casualty.task).or_insert(casualty);
-        if rank(known) < rank(casualty) {
-            *known = casualty;
+fn one_for_each_task(crash: &Crash) -> Vec<&crash::Run> {
+    let mut by_task: BTreeMap<Task, &crash::Run> = BTreeMap::new();
+    for run in &crash.runs {
+        let rank = |run: &crash::Run| (run.is_confirmed, run.number);
+        let known = by_task.entry(run.task).or_insert(run);
+        if rank(known) < rank(run) {
+            *known = run;
         }
     }
     by_task.into_values().collect()
 }
 
-/// How conclusive a crash is about the tasks that had just started on the worker.
+/// What a crash shows about the tasks that had just started on the worker.
 #[token]
-enum Verdict {
+pub enum Evidence {
     /// The worker crashes for reasons of its own, or many crash for a common one.
-    OtherCause,
+    None,
     /// Tasks of several jobs had just started, or another worker crashes at the same time or for
     /// reasons of its own.
-    Shared,
+    Partial,
     /// Only tasks of one job had just started.
-    Alone,
+    Conclusive,
 }
 
-fn verdict(tables: &Tables, key: key::Worker, incident: &Incident) -> Verdict {
-    let others = || tables.workers.iter().filter(|(other, _)| *other != key);
-    let together =
-        others().filter(|(_, worker)| has_crashed_with(tables, worker, incident)).count();
-    let is_elsewhere = others().any(|(_, worker)| worker.has_crashed_unexplained(incident.at));
-    if COMMON_CAUSE_WORKERS <= together + 1 || is_unstable(tables, &tables.workers[key], incident) {
-        Verdict::OtherCause
-    } else if incident.suspects.len() == 1 && together == 0 && !is_elsewhere {
-        Verdict::Alone
+impl Evidence {
+    /// Returns its name in log lines.
+    ///
+    /// ```
+    /// assert_eq!(lavendergauge_lib::batch::strike::Evidence::None.name(), "none");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Evidence::None => "none",
+            Evidence::Partial => "partial",
+            Evidence::Conclusive => "conclusive",
+        }
+    }
+}
+
+fn evidence(tables: &Tables, incident: &Incident) -> Evidence {
+    let together = crashed_together(tables, incident);
+    let crashes_elsewhere = tables.crashes.incidents.iter().any(|earlier| {
+        earlier.worker != incident.worker
+            && earlier.is_recent(incident.at)
+            && earlier.is_unexplained()
+    });
+    if COMMON_CAUSE_WORKERS <= together + 1 || is_unstable(tables, incident) {
+        Evidence::None
+    } else if incident.suspects.len() == 1 && together == 0 && !crashes_elsewhere {
+        Evidence::Conclusive
     } else {
-        Verdict::Shared
+        Evidence::Partial
     }
 }
 
-/// Tells whether a worker crashes for reasons of its own.
-fn is_unstable(tables: &Tables, worker: &Worker, incident: &Incident) -> bool {
-    let independent = worker
-        .recent_incidents(incident.at)
-        .filter(|earlier| is_independent(tables, earlier, incident));
-    UNSTABLE_COUNT <= independent.count() || worker.has_crashed_unexplained(incident.at)
+/// Tells whether the worker of an incident crashes for reasons of its own.
+fn is_unstable(tables: &Tables, incident: &Incident) -> bool {
+    let earlier = || tables.crashes.recent_on(incident.worker, incident.at);
+    let independent = earlier().filter(|earlier| is_independent(tables, earlier, incident));
+    UNSTABLE_COUNT <= independent.count() || earlier().any(Incident::is_unexplained)
 }
 
 /// Tells whether an earlier crash had another cause than the suspects of an incident. One whose suspects
@@ -215,52 +263,62 @@
     !earlier.suspects.iter().any(|id| incident.suspects.contains(id) || has_failed(id))
 }
 
-/// Tells whether another worker crashed at the time of an incident, or became silent then, and none of
-/// the suspected jobs can be the cause there.
-fn has_crashed_with(tables: &Tables, other: &Worker, incident: &Incident) -> bool {
+/// Returns the number of other workers that crashed at the time of an incident, or became silent then,
+/// and where none of the suspected jobs can be the cause.
+fn crashed_together(tables: &Tables, incident: &Incident) -> usize {
     let is_near =
         |at: Millis| at.since(incident.last_up).max(incident.last_up.since(at)) < COINCIDENCE;
-    let is_silent =
-        !other.is_responsive && other.is_reachable && other.last_answer.is_some_and(is_near);
-    let has_crashed = other
+    let crashed = tables
+        .crashes
         .incidents
         .iter()
-        .any(|earlier| is_near(earlier.last_up) && is_independent(tables, earlier, incident));
-    is_silent || has_crashed
+        .filter(|earlier| is_near(earlier.last_up) && is_independent(tables, earlier, incident))
+        .map(|earlier| earlier.worker);
+    let silent = tables.crashes.silent.iter().copied().filter(|key| {
+        tables
+            .workers
+            .get(*key)
+            .is_some_and(|worker| worker.is_reachable && worker.last_answer.is_some_and(is_near))
+    });
+    let workers: BTreeSet<key::Worker> =
+        crashed.chain(silent).filter(|worker| *worker != incident.worker).collect();
+    workers.len()
 }
 
 /// Counts a crash against a task, once for each run.
-fn record_crash(tables: &mut Tables, now: Millis, casualty: &Casualty, verdict: Verdict) {
-    let Some(task_state) = tables.task_state_mut(casualty.task) else { return };
+fn record_crash(
+    tables: &mut Tables,
+    now: Millis,
+    run: &crash::Run,
+    incident: &Incident,
+    evidence: Evidence,
+) {
+    let Some(task_state) = tables.task_state_mut(run.task) else { return };
     let crashes = &mut task_state.crashes;
-    if task_state.done || casualty.run <= crashes.run {
+    if task_state.done || run.number <= crashes.run {
         return;
     }
-    crashes.run = casualty.run;
-    crashes.count += 1;
-    if casualty.is_suspect() {
-        crashes.strikes = match verdict {
+    if run.has_just_started() {
+        crashes.strikes = match evidence {
             // An unconfirmed start may not have happened, so it is reason for caution only.
-            _ if !casualty.is_confirmed => crashes.strikes.max(1),
-            Verdict::OtherCause => crashes.strikes.max(1),
-            Verdict::Alone if crashes.strikes != 0 => crashes.strikes + 2,
-            Verdict::Shared | Verdict::Alone => crashes.strikes + 1,
+            _ if !run.is_confirmed => crashes.strikes.max(1),
+            Evidence::None => crashes.strikes.max(1),
+            Evidence::Conclusive if crashes.strikes != 0 => crashes.strikes + 2,
+            Evidence::Partial | Evidence::Conclusive => crashes.strikes + 1,
         };
         task_state.crashed_at = now;
+    } else if !incident.is_unexplained() {
+        // Others are the more likely cause.
+        return;
     }
-    tables.touch(casualty.task.instance.job);
-}
-
-fn remember(worker: &mut Worker, incident: Incident) {
-    if worker.incidents.len() == MAX_REMEMBERED {
-        worker.incidents.remove(0);
-    }
-    worker.incidents.push(incident);
+    crashes.run = run.number;
+    crashes.count += 1;
+    tables.touch(run.task.instance.job);
 }
 
 /// Clears a suspected task of its strikes if its run has stayed at work since it was first listed;
 /// `reported_at` is when the newest list was requested. Returns whether it did.
-pub(super) fn acquit(
+pub(super) fn clear(
     task_state: &mut TaskState,
     seen_at: Option<Millis>,
     reported_at: Millis,
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -326,8 +326,6 @@
     pub node: String,
     /// Newest incarnation whose crash was applied; 0 for none.
     pub crashed_incarnation: u64,
-    /// Its newest crashes, the oldest first.
-    pub incidents: SmallVec<[strike::Incident; 4]>,
     /// Job whose tasks may crash it; it takes no work of others.
     pub quarantine: Option<Id>,
     /// The worker's identifier; empty while unknown.
@@ -479,6 +477,10 @@
     pub urgent_arrivals: headroom::Arrivals,
     /// Recent failures on all workers.
     pub trust: trust::State,
+    /// Recent crashes of all workers.
+    pub crashes: strike::State,
+    /// Workers in quarantine.
+    pub quarantined: BTreeSet<key::Worker>,
     /// What an earlier leader knew about workers that have not reported yet, by agent.
     pub learned: BTreeMap<String, learned::Pending>,
     /// Jobs whose record has to be written.
@@ -531,6 +533,8 @@
             paces: speed::Steps::default(),
             urgent_arrivals: headroom::Arrivals::default(),
             trust: trust::State::default(),
+            crashes: strike::State::default(),
+            quarantined: BTreeSet::new(),
             learned: BTreeMap::new(),
             dirty: BTreeSet::new(),
             unsettled: BTreeSet::new(),
@@ -736,7 +740,6 @@
         let key = self.workers.insert(Worker {
             node: node.to_owned(),
             crashed_incarnation: 0,
-            incidents: SmallVec::new(),
             quarantine: None,
             id: String::new(),
             incarnation: 0,
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -108,23 +108,13 @@
 /// Decides whether a job has ended.
 fn decide_outcome(tables: &mut Tables, id: Id, wall_ms: u64, events: &mut Vec<Event>) {
     let Some(job) = tables.jobs.get(&id).filter(|job| job.is_active()) else { return };
-    let attempts = job.queue.attempts.max(1);
     let count = job.record.submission.repeat.count.max(1);
-    let steps = job.steps();
-    let failed = job.occurrences.values().any(|row| {
-        row.steps.iter().zip(steps).any(|(task_states, step)| {
-            !step.long_running
-                && task_states
-                    .iter()
-                    .any(|task_state| !task_state.done && attempts <= task_state.failures)
-        })
-    });
-    let guilty = guilty_task(id, job);
+    let failed = failed_task(id, job);
     let has_ended = |row: &Occurrence| row.steps.iter().flatten().all(|task_state| task_state.done);
     let from = (job.from..job.next)
         .find(|number| job.occurrences.get(number).is_some_and(|row| !has_ended(row)))
         .unwrap_or(job.next);
-    let outcome = match (failed || guilty.is_some(), from == count) {
+    let outcome = match (failed.is_some(), from == count) {
         (true, _) => Some(Outcome::Failed),
         (_, true) => Some(Outcome::Completed),
         _ => None,
@@ -143,23 +133,27 @@
     if let Some(outcome) = outcome {
         job.outcome = Some(outcome);
         job.ended_ms = wall_ms;
-        events.extend(guilty);
+        let crashes = failed.and_then(|task| Some((task, tables.task_state(task)?.crashes)));
+        let given_up = crashes.filter(|(_, crashes)| !crashes.is_none());
+        events.extend(given_up.map(|(task, crashes)| Event::GivenUp(task, crashes)));
         events.push(Event::Ended(id, outcome));
     }
     tables.touch(id);
 }
 
-/// Returns the event that a job is given up because a task crashes its workers, if one does.
-fn guilty_task(id: Id, job: &Job) -> Option<Event> {
+/// Returns the first task that makes its job fail: it has used up its attempts, or crashes its workers.
+fn failed_task(id: Id, job: &Job) -> Option<Task> {
+    let attempts = job.queue.attempts.max(1);
     for (&occurrence, row) in &job.occurrences {
-        for (step, task_states) in row.steps.iter().enumerate() {
-            let is_guilty = |task_state: &TaskState| {
-                !task_state.done && strike::is_guilty(task_state, &job.steps()[step])
+        for (number, task_states) in row.steps.iter().enumerate() {
+            let step = &job.steps()[number];
+            let fails = |task_state: &TaskState| {
+                let is_exhausted = !step.long_running && attempts <= task_state.failures;
+                !task_state.done && (is_exhausted || strike::is_at_fault(task_state, step))
             };
-            let Some(index) = task_states.iter().position(is_guilty) else { continue };
-            let instance = StepInstance { job: id, occurrence, step: step as u16 };
-            let task = Task { instance, index: index as u32 };
-            return Some(Event::GivenUp(task, task_states[index].crashes));
+            let Some(index) = task_states.iter().position(fails) else { continue };
+            let instance = StepInstance { job: id, occurrence, step: number as u16 };
+            return Some(Task { instance, index: index as u32 });
         }
     }
     None
--- a/lib/tests/batch_capacity.rs
+++ b/lib/tests/batch_capacity.rs
@@ -2,6 +2,7 @@
 
 mod batch_sim;
 
+use batch_sim::Run;
 use batch_sim::Simulation;
 use batch_sim::step;
 use lavendergauge_lib::batch::job::State;
@@ -101,3 +102,34 @@
         assert!(sim.run_until_ended(5000), "worker {shrunken}");
     }
 }
+
+#[test]
+fn known_after_takeover() {
+    // A new leader inherits runs on workers that shrank while nobody led.
+    let mut sim = Simulation::new(1);
+    let spread = Step { max_per_worker: 1, ..step(3, 4, 4000) };
+    sim.submit("plain", "praha", vec![spread], 4000);
+    sim.run_for(500);
+    sim.workers.iter_mut().for_each(|worker| worker.accelerators = 6);
+    sim.run_for(GRACE_MS);
+    sim.take_over();
+    let id = sim.submit("plain", "brno", vec![step(3, 4, 500)], 500);
+    sim.run_for(2000);
+    assert_eq!(sim.starts.len(), 3, "nothing starts where it does not fit");
+    assert!(sim.run_until_ended(20_000));
+    assert_eq!(sim.state(id), Some(State::Completed));
+}
+
+#[test]
+fn stray_runs() {
+    // A start did not count a run that its worker lists and the planner does not expect there.
+    let mut sim = Simulation::new(1);
+    let earlier = sim.submit("plain", "praha", vec![step(1, 8, 500)], 500);
+    assert!(sim.run_until_ended(5000));
+    let (_, task, ..) = sim.starts[0];
+    assert_eq!(task.instance.job, earlier);
+    let stray = Run { run: 1, began_at: sim.now, duration_ms: 60_000, stops_at: None };
+    sim.workers[1].runs.insert(task, stray);
+    sim.submit("plain", "brno", vec![step(3, 8, 500)], 500);
+    assert!(sim.run_until_ended(20_000));
+}
--- a/lib/tests/batch_crash.rs
+++ b/lib/tests/batch_crash.rs
@@ -204,3 +204,54 @@
     assert_eq!(sim.state(id), Some(State::Failed));
     assert_eq!(start_count(&sim, task(id, 0)), 2);
 }
+
+#[test]
+fn repeated_bystander() {
+    // A sound task that had worked for long was given up after five crashes by tasks that started beside it.
+    let mut sim = Simulation::new(1);
+    let busy = Step { max_per_worker: 1, ..step(2, 8, 90_000) };
+    sim.submit("plain", "praha", vec![busy], 90_000);
+    sim.run_for(100);
+    let sound = sim.submit("plain", "praha", vec![step(1, 4, 20_000)], 20_000);
+    for _ in 0..4 {
+        sim.run_for(2000);
+        submit_deadly(&mut sim, "plain", vec![step(1, 4, 1000)]);
+        sim.run_for(4 * DOWN_MS);
+    }
+    let lost = sim.crashes.iter().filter(|(_, tasks)| tasks.contains(&task(sound, 0))).count();
+    assert!(5 <= lost, "{lost} crashes");
+    assert!(sim.run_until_ended(120_000));
+    assert_eq!(sim.state(sound), Some(State::Completed));
+}
+
+#[test]
+fn store_away() {
+    // Crashes while nothing can be recorded, with or without a new leader before the store is back.
+    for takes_over in [false, true] {
+        for first in 0..3 {
+            let mut sim = Simulation::new(2);
+            let id = submit_deadly(&mut sim, "plain", vec![step(1, 2, 4000)]);
+            while sim.crashes.len() <= first && sim.submitted[&id].ended.is_none() {
+                sim.run_for(20);
+            }
+            sim.store_down = true;
+            let started = sim.starts.len();
+            sim.run_for(2 * DOWN_MS);
+            assert_eq!(sim.starts.len(), started, "nothing starts that is not recorded");
+            if sim.stored[&id].outcome.is_none() {
+                assert_eq!(sim.state(id), Some(State::Running), "shown before it is recorded");
+            }
+            if takes_over {
+                sim.take_over();
+            }
+            sim.store_down = false;
+            assert!(sim.run_until_ended(60_000), "{takes_over} {first}");
+            assert_eq!(sim.state(id), Some(State::Failed));
+            assert!(start_count(&sim, task(id, 0)) <= 3, "{takes_over} {first}");
+            sim.take_over();
+            sim.run_for(2 * DOWN_MS);
+            assert_eq!(sim.state(id), Some(State::Failed), "a new leader shows the same");
+            assert!(start_count(&sim, task(id, 0)) <= 3);
+        }
+    }
+}
--- a/lib/tests/batch_sim/indices.rs
+++ b/lib/tests/batch_sim/indices.rs
@@ -8,6 +8,7 @@
 use lavendergauge_lib::batch::table::Job;
 use lavendergauge_lib::batch::table::Phase;
 use lavendergauge_lib::batch::table::Tables;
+use lavendergauge_lib::batch::table::Worker;
 use lavendergauge_lib::key;
 use lavendergauge_lib::resource::Resources;
 
@@ -50,6 +51,13 @@
 }
 
 fn check_workers(tables: &Tables) {
+    let keys = |is_listed: &dyn Fn(&Worker) -> bool| -> BTreeSet<key::Worker> {
+        let rows = tables.workers.iter().filter(|(_, worker)| is_listed(worker));
+        rows.map(|(key, _)| key).collect()
+    };
+    assert_eq!(tables.quarantined, keys(&|worker| worker.quarantine.is_some()));
+    let silent = keys(&|worker| !worker.is_responsive && worker.session != 0);
+    assert_eq!(*tables.crashes.silent(), silent);
     for (key, worker) in &tables.workers {
         let here: BTreeSet<key::Run> =
             tables.runs.iter().filter(|(_, run)| run.worker == key).map(|(key, _)| key).collect();
