batch: rooms of their own for reports, changes, the event log, agent state and heartbeats

Change: the types of reports and of their changes, the planner's log, the agent's state and its heartbeats are modules; placement in quarantine is in the module of that name. New lines start-withdrawn, reservations-overridden and worker-resized with counters; an agent's worker-changed names the capacity. No decision changes.

--- a/daemon/src/batch.rs
+++ b/daemon/src/batch.rs
@@ -5,10 +5,13 @@
 pub mod admission;
 pub mod advise;
 pub mod agent;
+pub mod agent_heartbeat;
 pub mod agent_order;
+pub mod agent_state;
 pub mod agent_worker;
 pub mod config_view;
 pub mod entry;
+pub mod event_log;
 pub mod explain;
 pub mod follow;
 pub mod forward;
--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -11,23 +11,16 @@
 use std::time::Duration;
 
 use error_stack::Report as Failure;
-use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use lavendergauge_lib::batch::crash::Crash;
 use lavendergauge_lib::batch::crash::Ledger;
-use lavendergauge_lib::batch::observe::Announcement;
-use lavendergauge_lib::batch::observe::List;
-use lavendergauge_lib::batch::observe::Report;
 use lavendergauge_lib::batch::order::Answer;
-use lavendergauge_net::body;
+use lavendergauge_lib::batch::report::Report;
 use lavendergauge_net::body::Body;
 use lavendergauge_net::server;
 use lavendergauge_platform::advice::Advisor;
-use lavendergauge_platform::heartbeat;
-use lavendergauge_platform::heartbeat::Message;
 use lavendergauge_platform::store::Put;
 use lavendergauge_platform::store::Store;
 use lavendergauge_platform::store::Transaction;
@@ -38,7 +31,9 @@
 use tokio::time;
 
 use crate::access;
+use crate::batch::agent_heartbeat;
 use crate::batch::agent_order;
+use crate::batch::agent_state::State;
 use crate::batch::agent_worker;
 use crate::batch::keys;
 use crate::batch::message;
@@ -57,12 +52,6 @@
 use crate::startup;
 use crate::telemetry;
 
-/// Maximum size of a heartbeat's body, in bytes.
-const HEARTBEAT_LIMIT: usize = 64 << 10;
-/// Maximum number of crashes that are reported.
-const MAX_CRASHES: usize = 4;
-/// Time for which a crash is reported, in milliseconds; longer than any change of planner takes.
-const CRASH_MEMORY_MS: u64 = 60_000;
 /// Maximum number of concurrent connections to one listener.
 const CONNECTIONS: usize = 512;
 /// Time by which a lease is shortened to allow for the duration of calls, in milliseconds.
@@ -74,63 +63,6 @@
 /// Longest wait for calls in progress at a stop; tasks keep running under their lease.
 const STOP_WAIT: Duration = Duration::from_millis(500);
 
-/// State of an agent, guarded by one lock that is never held across an `await`.
-pub struct State {
-    /// Highest fencing token seen; 0 before any planner has called.
-    pub fence: u64,
-    /// Name of the planner that holds that token.
-    pub planner: String,
-    /// Time of this process's clock until which tasks may run, in milliseconds.
-    pub grant_until: u64,
-    /// The worker's last announcement; `None` while there is no worker.
-    pub worker: Option<Announcement>,
-    /// Sequence number of the worker's newest heartbeat.
-    pub heartbeat_sequence: u64,
-    /// Newest incarnation of the worker that has ended.
-    pub ended_incarnation: u64,
-    /// The worker's clock and the agent's clock at the moment it was read, in milliseconds.
-    pub worker_clock: Option<(u64, u64)>,
-    /// The worker's last list of running and ended runs.
-    pub list: Option<List>,
-    /// Incarnation of the worker, and number of the newest ended run that it may forget.
-    pub forgettable_ends: (u64, u64),
-    /// Whether the worker answered the agent's last call.
-    pub is_worker_responsive: bool,
-    /// Whether this process is stopping.
-    pub is_stopping: bool,
-    /// Whether orders were executed since the worker was last polled for its runs.
-    pub has_new_orders: bool,
-    /// The runs on the worker's present incarnation.
-    pub ledger: Ledger,
-    /// The newest crashes of the worker, the oldest first.
-    pub crashes: VecDeque<Crash>,
-}
-
-impl State {
-    /// Records that the worker's present incarnation has ended without a leave message.
-    ///
-    /// A worker that had announced to leave has not crashed: it also ends when its message is lost.
-    pub fn record_end(&mut self) {
-        let Some(worker) = &self.worker else { return };
-        self.ended_incarnation = self.ended_incarnation.max(worker.incarnation);
-        if !worker.ready {
-            self.ledger.clear();
-            return;
-        }
-        let crash = self.ledger.close(worker.incarnation, clock::boot().0);
-        log::warn!(
-            "event=worker-crash-noticed worker={} incarnation={} runs={}",
-            worker.id,
-            crash.incarnation,
-            crash.runs.len()
-        );
-        if self.crashes.len() == MAX_CRASHES {
-            self.crashes.pop_front();
-        }
-        self.crashes.push_back(crash);
-    }
-}
-
 /// An agent, shared by its listeners and loops.
 pub struct Agent {
     /// Name of the agent.
@@ -210,11 +142,11 @@
     fn report(&self) -> Report {
         let version = *self.version.borrow();
         let mut state = self.state();
-        let now = clock::boot().0;
-        state.crashes.retain(|crash| now < crash.noticed_at + CRASH_MEMORY_MS);
+        let clock = clock::boot().0;
+        state.forget_old_crashes(clock);
         Report {
             node: self.name.clone(),
-            clock: clock::boot().0,
+            clock,
             session: self.session,
             fence: state.fence,
             version,
@@ -301,7 +233,8 @@
     let mut listeners = JoinSet::new();
     let mut loops = JoinSet::new();
     let shared = agent.clone();
-    let handler = peer::handler(move |request, _| on_heartbeat(shared.clone(), request));
+    let handler =
+        peer::handler(move |request, _| agent_heartbeat::on_heartbeat(shared.clone(), request));
     listeners.spawn(server::serve(heartbeats, handler, CONNECTIONS, stopped.clone()));
     let shared = agent.clone();
     let handler = peer::handler(move |request, _| on_call(shared.clone(), request));
@@ -336,100 +269,6 @@
     }
 }
 
-async fn on_heartbeat(agent: Arc<Agent>, request: Request<Incoming>) -> Response<Body> {
-    let path = request.uri().path().to_owned();
-    if request.method() != Method::POST {
-        return peer::status(StatusCode::METHOD_NOT_ALLOWED);
-    }
-    let Ok(bytes) = body::receive(request.into_body(), HEARTBEAT_LIMIT).await else {
-        return peer::status(StatusCode::BAD_REQUEST);
-    };
-    match heartbeat::parse(&path, &bytes) {
-        Some(Message::Heartbeat(heartbeat)) => {
-            apply_heartbeat(&agent, heartbeat);
-            peer::status(StatusCode::OK)
-        }
-        Some(Message::Leave(id, incarnation)) => {
-            apply_leave(&agent, &id, incarnation);
-            peer::status(StatusCode::OK)
-        }
-        None => {
-            log::warn!("event=heartbeat-unreadable path={path}");
-            peer::status(StatusCode::BAD_REQUEST)
-        }
-    }
-}
-
-fn apply_heartbeat(agent: &Agent, heartbeat: heartbeat::Heartbeat) {
-    let announcement = heartbeat.announcement;
-    if announcement.service != agent.settings.service {
-        log::warn!(
-            "event=heartbeat-foreign worker={} service={}",
-            announcement.id,
-            announcement.service
-        );
-        return;
-    }
-    let mut state = agent.state();
-    let known_incarnation = state.worker.as_ref().map_or(0, |worker| worker.incarnation);
-    if announcement.incarnation < known_incarnation
-        || announcement.incarnation <= state.ended_incarnation
-    {
-        log::info!(
-            "event=heartbeat-late worker={} incarnation={} known={known_incarnation} over={}",
-            announcement.id,
-            announcement.incarnation,
-            state.ended_incarnation
-        );
-        return;
-    }
-    if announcement.incarnation == known_incarnation {
-        if heartbeat.sequence <= state.heartbeat_sequence {
-            return;
-        }
-        state.heartbeat_sequence = heartbeat.sequence;
-        if state.worker.as_ref() == Some(&announcement) {
-            return;
-        }
-        log::info!("event=worker-changed worker={} ready={}", announcement.id, announcement.ready);
-    } else {
-        log::info!(
-            "event=worker-joined worker={} incarnation={} before={known_incarnation} rack={} \
-             ready={}",
-            announcement.id,
-            announcement.incarnation,
-            announcement.rack,
-            announcement.ready
-        );
-        state.record_end();
-        state.heartbeat_sequence = heartbeat.sequence;
-        state.worker_clock = None;
-        state.list = None;
-        state.is_worker_responsive = true;
-        agent.wake.notify_one();
-    }
-    state.worker = Some(announcement);
-    drop(state);
-    agent.notify_planner();
-}
-
-fn apply_leave(agent: &Agent, id: &str, incarnation: u64) {
-    let mut state = agent.state();
-    let worker = state.worker.as_ref().filter(|worker| worker.id == id);
-    let Some(known_incarnation) = worker.map(|worker| worker.incarnation) else { return };
-    if incarnation != 0 && incarnation < known_incarnation {
-        return;
-    }
-    log::info!("event=worker-left worker={id} incarnation={known_incarnation}");
-    state.ended_incarnation = state.ended_incarnation.max(known_incarnation);
-    state.ledger.clear();
-    state.worker = None;
-    state.list = None;
-    state.worker_clock = None;
-    drop(state);
-    agent.notify_planner();
-}
-
 async fn on_call(agent: Arc<Agent>, request: Request<Incoming>) -> Response<Body> {
     if request.uri().path() == telemetry::PATH {
         return telemetry::scrape();
--- a/daemon/src/batch/agent_order.rs
+++ b/daemon/src/batch/agent_order.rs
@@ -1,9 +1,9 @@
 //! Executes the planner's orders at the worker.
 
-use lavendergauge_lib::batch::observe::Announcement;
 use lavendergauge_lib::batch::order::Answer;
 use lavendergauge_lib::batch::order::Order;
 use lavendergauge_lib::batch::order::Verb;
+use lavendergauge_lib::batch::report::Announcement;
 use lavendergauge_lib::resource::Resources;
 use lavendergauge_platform::Error;
 use lavendergauge_platform::worker::Reply;
--- /dev/null
+++ b/daemon/src/batch/agent_state.rs
@@ -0,0 +1,77 @@
+//! What an agent knows about its worker and the planner.
+
+use std::collections::VecDeque;
+
+use lavendergauge_lib::batch::crash::Crash;
+use lavendergauge_lib::batch::crash::Ledger;
+use lavendergauge_lib::batch::report::Announcement;
+use lavendergauge_lib::batch::report::List;
+
+use crate::clock;
+
+/// Maximum number of crashes that are reported.
+const MAX_CRASHES: usize = 4;
+/// Time for which a crash is reported, in milliseconds; longer than any change of planner takes.
+const CRASH_MEMORY_MS: u64 = 60_000;
+
+/// State of an agent, guarded by one lock that is never held across an `await`.
+pub struct State {
+    /// Highest fencing token seen; 0 before any planner has called.
+    pub fence: u64,
+    /// Name of the planner that holds that token.
+    pub planner: String,
+    /// Time of this process's clock until which tasks may run, in milliseconds.
+    pub grant_until: u64,
+    /// The worker's last announcement; `None` while there is no worker.
+    pub worker: Option<Announcement>,
+    /// Sequence number of the worker's newest heartbeat.
+    pub heartbeat_sequence: u64,
+    /// Newest incarnation of the worker that has ended.
+    pub ended_incarnation: u64,
+    /// The worker's clock and the agent's clock at the moment it was read, in milliseconds.
+    pub worker_clock: Option<(u64, u64)>,
+    /// The worker's last list of running and ended runs.
+    pub list: Option<List>,
+    /// Incarnation of the worker, and number of the newest ended run that it may forget.
+    pub forgettable_ends: (u64, u64),
+    /// Whether the worker answered the agent's last call.
+    pub is_worker_responsive: bool,
+    /// Whether this process is stopping.
+    pub is_stopping: bool,
+    /// Whether orders were executed since the worker was last polled for its runs.
+    pub has_new_orders: bool,
+    /// The runs on the worker's present incarnation.
+    pub ledger: Ledger,
+    /// The newest crashes of the worker, the oldest first.
+    pub crashes: VecDeque<Crash>,
+}
+
+impl State {
+    /// Discards crashes that every planner has had time to read.
+    pub fn forget_old_crashes(&mut self, now: u64) {
+        self.crashes.retain(|crash| now < crash.noticed_at + CRASH_MEMORY_MS);
+    }
+
+    /// Records that the worker's present incarnation has ended without a leave message.
+    ///
+    /// A worker that had announced to leave has not crashed: it also ends when its message is lost.
+    pub fn record_end(&mut self) {
+        let Some(worker) = &self.worker else { return };
+        self.ended_incarnation = self.ended_incarnation.max(worker.incarnation);
+        if !worker.ready {
+            self.ledger.clear();
+            return;
+        }
+        let crash = self.ledger.close(worker.incarnation, clock::boot().0);
+        log::warn!(
+            "event=worker-crash-noticed worker={} incarnation={} runs={}",
+            worker.id,
+            crash.incarnation,
+            crash.runs.len()
+        );
+        if self.crashes.len() == MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+        self.crashes.push_back(crash);
+    }
+}
--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lavendergauge_lib::batch::observe::List;
+use lavendergauge_lib::batch::report::List;
 use lavendergauge_platform::worker::Snapshot;
 use tokio::time;
 
--- a/daemon/src/batch/follow.rs
+++ b/daemon/src/batch/follow.rs
@@ -5,14 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lavendergauge_lib::batch::change::Change;
 use lavendergauge_lib::batch::dispatch::Dispatch;
 use lavendergauge_lib::batch::job::Record;
 use lavendergauge_lib::batch::observe;
-use lavendergauge_lib::batch::observe::Change;
-use lavendergauge_lib::batch::observe::Report;
 use lavendergauge_lib::batch::order::Order;
 use lavendergauge_lib::batch::order::Verb;
 use lavendergauge_lib::batch::records;
+use lavendergauge_lib::batch::report::Report;
 use lavendergauge_net::client;
 use lavendergauge_platform::store::Event;
 use lavendergauge_platform::store::Item;
@@ -21,6 +21,7 @@
 use tokio::time;
 
 use crate::batch::entry::Entry;
+use crate::batch::event_log;
 use crate::batch::keys;
 use crate::batch::leader::Term;
 use crate::batch::message;
@@ -186,7 +187,7 @@
     drop(tables);
     let mut stops = Vec::new();
     for change in &changes {
-        planner::log_change(change);
+        event_log::log_change(change);
         if let (Change::Unexpected(task, run), Some((worker, incarnation))) = (change, worker) {
             let order = Order { task: *task, run: *run, incarnation, verb: Verb::Stop };
             let (node, session) = (report.node.clone(), report.session);
--- a/daemon/src/batch/learned.rs
+++ b/daemon/src/batch/learned.rs
@@ -25,9 +25,9 @@
 use tokio::time;
 
 use crate::batch::entry::Entry;
+use crate::batch::event_log;
 use crate::batch::keys;
 use crate::batch::leader::Term;
-use crate::batch::planner;
 use crate::batch::planner::Planner;
 use crate::clock;
 use crate::logs::Value;
@@ -209,7 +209,7 @@
                 outcome.pending,
                 outcome.age_ms
             );
-            outcome.changes.iter().for_each(planner::log_change);
+            outcome.changes.iter().for_each(event_log::log_change);
         }
         Err(cause) => {
             counter!("lavendergauge_learned_loads_total", "outcome" => cause).increment(1);
--- a/lib/benches/batch_scale.rs
+++ b/lib/benches/batch_scale.rs
@@ -17,13 +17,13 @@
 use lavendergauge_lib::batch::job::Step;
 use lavendergauge_lib::batch::job::Submission;
 use lavendergauge_lib::batch::observe;
-use lavendergauge_lib::batch::observe::Announcement;
-use lavendergauge_lib::batch::observe::List;
-use lavendergauge_lib::batch::observe::ListedRun;
-use lavendergauge_lib::batch::observe::Report;
 use lavendergauge_lib::batch::order;
 use lavendergauge_lib::batch::order::Answer;
 use lavendergauge_lib::batch::records;
+use lavendergauge_lib::batch::report::Announcement;
+use lavendergauge_lib::batch::report::List;
+use lavendergauge_lib::batch::report::ListedRun;
+use lavendergauge_lib::batch::report::Report;
 use lavendergauge_lib::batch::table::Tables;
 use lavendergauge_lib::batch::tick;
 use lavendergauge_lib::clock::Millis;
@@ -134,7 +134,7 @@
 
     fn tick(&mut self) {
         tick::run(&mut self.tables, Millis(self.now), WALL_MS + self.now);
-        dispatch::orders(&mut self.tables, Millis(self.now));
+        dispatch::orders(&mut self.tables, Millis(self.now), &mut Vec::new());
     }
 
     /// Records all jobs and carries out all starts.
@@ -145,7 +145,7 @@
             }
         }
         let now = Millis(self.now);
-        for dispatch in dispatch::orders(&mut self.tables, now) {
+        for dispatch in dispatch::orders(&mut self.tables, now, &mut Vec::new()) {
             order::apply_answer(&mut self.tables, now, &dispatch.order, &Answer::Done(self.now));
         }
     }
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod advice;
 pub mod assign;
+pub mod change;
 pub mod config;
 pub mod crash;
 pub mod dispatch;
@@ -30,6 +31,7 @@
 pub mod rank;
 pub mod records;
 pub mod refill;
+pub mod report;
 pub mod reservation;
 pub mod run_time;
 pub mod share;
--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -82,9 +82,12 @@
         if placed == Placed::None && reservation::are_exclusive(tables) {
             let conflicts = reservation::newer_conflicts(tables, candidate.instance);
             if !conflicts.is_empty() {
-                cancel_all(tables, &mut availability, &conflicts);
+                availability.release_steps(tables, &conflicts);
                 placed = place(tables, now, &availability, candidate, &step, allowed, events);
-                reserve_all(tables, &mut availability, &conflicts);
+                availability.reserve_steps(tables, &conflicts);
+                if placed != Placed::None {
+                    events.push(Event::Overridden(candidate.instance, conflicts.len()));
+                }
             }
         }
         let placed_count = (tables.runs.len() - runs_before) as u32;
@@ -129,28 +132,6 @@
     }
 }
 
-/// Releases the resources that are reserved for steps.
-fn cancel_all(tables: &Tables, availability: &mut Availability, instances: &[StepInstance]) {
-    for instance in instances {
-        if let (Some(step), Some(reservation)) =
-            (tables.step(*instance), tables.reservations.get(instance))
-        {
-            availability.cancel_reservation(step, &reservation.placements);
-        }
-    }
-}
-
-/// Reserves the resources that are reserved for steps again.
-fn reserve_all(tables: &Tables, availability: &mut Availability, instances: &[StepInstance]) {
-    for instance in instances {
-        if let (Some(step), Some(reservation)) =
-            (tables.step(*instance), tables.reservations.get(instance))
-        {
-            availability.reserve(step, &reservation.placements);
-        }
-    }
-}
-
 /// Places as many tasks of a candidate as there is capacity for, at most `most`; a gang as a whole.
 fn place(
     tables: &mut Tables,
@@ -312,7 +293,7 @@
         let placed = place_parts(tables, now, availability, candidate, step, most, events);
         return Placed::count(placed, candidate);
     };
-    let mut placed = place_suspects(tables, now, availability, &suspects, step, most, events);
+    let mut placed = quarantine::place(tables, now, availability, &suspects, step, most, events);
     if !others.waiting.is_empty() {
         let remaining = most - placed as u32;
         placed += place_parts(tables, now, availability, &others, step, remaining, events);
@@ -339,30 +320,6 @@
     placed
 }
 
-/// Places tasks that may crash their worker, at most `most`; returns how many were placed.
-fn place_suspects(
-    tables: &mut Tables,
-    now: Millis,
-    availability: &Availability,
-    suspects: &Candidate,
-    step: &Step,
-    most: u32,
-    events: &mut Vec<Event>,
-) -> usize {
-    let chosen = quarantine::choose(tables, now, availability, suspects, step, most);
-    let Some((worker, count)) = chosen else { return 0 };
-    let is_idle = tables.workers[worker].runs.is_empty();
-    for &index in suspects.waiting.iter().take(count as usize) {
-        let task = Task { instance: suspects.instance, index };
-        let run = tables.task_state(task).map_or(1, |task_state| task_state.run + 1);
-        plan_run(tables, now, task, run, worker);
-        events.push(placed_event(tables, task, run, worker, 1, true));
-        let node = tables.workers[worker].node.clone();
-        events.push(Event::Quarantined { task, run, node, is_idle });
-    }
-    count as usize
-}
-
 /// Places as many of the waiting tasks as there is capacity for, at most `most`; returns how many
 /// were placed.
 fn place_part(
--- a/lib/src/batch/crash.rs
+++ b/lib/src/batch/crash.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 
 use crate::batch::job::Task;
-use crate::batch::observe::ListedRun;
+use crate::batch::report::ListedRun;
 
 /// Time that a run must be at work to show that it does not crash its worker.
 pub const PROBATION: Duration = Duration::from_secs(1);
@@ -112,7 +112,7 @@
     /// ```
     /// use lavendergauge_lib::batch::crash::Ledger;
     /// use lavendergauge_lib::batch::job::Task;
-    /// use lavendergauge_lib::batch::observe::ListedRun;
+    /// use lavendergauge_lib::batch::report::ListedRun;
     /// let task = Task::parse("00000000000000ff.0.0.1").unwrap();
     /// let mut ledger = Ledger::default();
     /// ledger.begin_start(task, 1, 100);
--- a/lib/src/batch/dispatch.rs
+++ b/lib/src/batch/dispatch.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::batch::advice;
+use crate::batch::event::Event;
 use crate::batch::order::Order;
 use crate::batch::order::Verb;
 use crate::batch::pace;
@@ -45,12 +46,12 @@
 /// Returns the orders to send now and marks them as sent.
 ///
 /// A start order is sent only after its run has been recorded.
-pub fn orders(tables: &mut Tables, now: Millis) -> Vec<Dispatch> {
+pub fn orders(tables: &mut Tables, now: Millis, events: &mut Vec<Event>) -> Vec<Dispatch> {
     let mut dispatches = Vec::new();
     let unsent: SmallVec<[key::Run; 32]> = tables.unsent.iter().copied().collect();
     for key in unsent {
         if exceeds_capacity(tables, key) {
-            withdraw(tables, key);
+            withdraw(tables, key, events);
             continue;
         }
         let verb = match tables.runs.get(key) {
@@ -86,9 +87,16 @@
 }
 
 /// Drops a run whose start was not sent, so that its task is placed again.
-fn withdraw(tables: &mut Tables, key: key::Run) {
+fn withdraw(tables: &mut Tables, key: key::Run, events: &mut Vec<Event>) {
     let Some(run) = tables.remove_run(key) else { return };
     let instance = run.task.instance;
+    if let Some(worker) = tables.workers.get(run.worker) {
+        events.push(Event::Withdrawn {
+            task: run.task,
+            run: run.number,
+            node: worker.node.clone(),
+        });
+    }
     if tables.step(instance).is_some_and(|step| step.gang) {
         tables.refills.insert(instance, run.number);
     }
--- a/lib/src/batch/event.rs
+++ b/lib/src/batch/event.rs
@@ -4,10 +4,10 @@
 
 use lavendergauge_derive::value;
 
+use crate::batch::change::Change;
 use crate::batch::job::Id;
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
-use crate::batch::observe::Change;
 use crate::batch::progress::Crashes;
 use crate::batch::progress::Outcome;
 use crate::batch::share;
@@ -86,6 +86,17 @@
     Tier(StepInstance, speed::Class, usize),
     /// A worker's factor is known to have changed, in thousandths of the usual time.
     Speed(String, u32),
+    /// A start that was not sent is withdrawn, as its worker has shrunk.
+    Withdrawn {
+        /// The task.
+        task: Task,
+        /// Number of the run.
+        run: u32,
+        /// Name of the agent.
+        node: String,
+    },
+    /// A step is placed although newer reservations are in its way; their number.
+    Overridden(StepInstance, usize),
     /// A job is given up because a task crashes its workers.
     GivenUp(Task, Crashes),
     /// A suspected task starts on a worker; whether nothing else runs there.
--- a/lib/src/batch/learned.rs
+++ b/lib/src/batch/learned.rs
@@ -14,7 +14,7 @@
 use serde::Serialize;
 use smallvec::SmallVec;
 
-use crate::batch::observe::Change;
+use crate::batch::change::Change;
 use crate::batch::speed;
 use crate::batch::table;
 use crate::batch::table::Tables;
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -1,19 +1,19 @@
-//! Applies the reports of agents: which worker is on their VM, what it runs, and which runs ended.
+//! Applies the reports of agents.
 
 use std::time::Duration;
 
-use lavendergauge_derive::value;
-use serde::Deserialize;
-use serde::Serialize;
 use smallvec::SmallVec;
 
-use crate::batch::crash::Crash;
+use crate::batch::change::Change;
 use crate::batch::job::Task;
 use crate::batch::learned;
+use crate::batch::report::End;
+use crate::batch::report::Ending;
+use crate::batch::report::List;
+use crate::batch::report::Report;
 use crate::batch::run_time;
 use crate::batch::speed;
 use crate::batch::strike;
-use crate::batch::strike::Evidence;
 use crate::batch::table;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
@@ -23,195 +23,6 @@
 use crate::key;
 use crate::resource::Resources;
 
-/// A worker as it announces itself to the agent on its VM.
-#[value]
-#[derive(Serialize, Deserialize)]
-pub struct Announcement {
-    /// Identifier.
-    pub id: String,
-    /// Incarnation: Unix milliseconds of its start.
-    pub incarnation: u64,
-    /// Service.
-    pub service: String,
-    /// Data centre.
-    pub data_centre: String,
-    /// Rack.
-    pub rack: String,
-    /// Labels, the rack among them.
-    pub labels: Vec<String>,
-    /// Accelerators.
-    pub accelerators: u32,
-    /// Processors, in thousandths of a core.
-    pub processors: u32,
-    /// Memory, in megabytes.
-    pub memory_mb: u64,
-    /// Whether it takes new work.
-    pub ready: bool,
-    /// Minimum time for which a worker that takes no new work stays up, in milliseconds.
-    pub leaves_ms: u64,
-}
-
-impl Announcement {
-    /// Returns the total resources.
-    pub fn capacity(&self) -> Resources {
-        Resources {
-            accelerators: self.accelerators,
-            processors: self.processors,
-            memory_mb: self.memory_mb,
-        }
-    }
-}
-
-/// How a run ended.
-#[value]
-#[derive(Copy, Serialize, Deserialize)]
-pub enum Ending {
-    /// It completed its work.
-    Done,
-    /// It failed.
-    Failed,
-    /// It was stopped, its lease expired, or its gang broke.
-    Over,
-}
-
-/// The end of a run, listed by its worker until the planner acknowledges it.
-#[value]
-#[derive(Serialize, Deserialize)]
-pub struct End {
-    /// Sequence number; starts at 1 in each incarnation of the worker.
-    pub number: u64,
-    /// The task.
-    pub task: Task,
-    /// Number of the run.
-    pub run: u32,
-    /// How it ended.
-    pub ending: Ending,
-    /// How it ended, in the worker's terms.
-    pub how: String,
-    /// Newest checkpoint; empty for none.
-    pub checkpoint: String,
-}
-
-/// A run that exists on a worker.
-#[value]
-#[derive(Serialize, Deserialize)]
-pub struct ListedRun {
-    /// The task.
-    pub task: Task,
-    /// Number of the run.
-    pub run: u32,
-    /// Newest checkpoint; empty for none.
-    pub checkpoint: String,
-    /// Completed share of its work, in percent.
-    pub percent: u32,
-    /// The worker's measurement over the last half second: tail latency in milliseconds of a
-    /// serving task, processors in use of any other; 0 when it gave none.
-    pub measure: u32,
-}
-
-/// A worker's list of its runs and of the ends that are not acknowledged.
-#[value]
-#[derive(Serialize, Deserialize)]
-pub struct List {
-    /// Incarnation of the worker that sent the list.
-    pub incarnation: u64,
-    /// Fencing token of the request for the list.
-    pub fence: u64,
-    /// Agent's clock when the request was sent, in milliseconds.
-    #[serde(rename = "asked")]
-    pub sent_at: u64,
-    /// Agent's clock when the list was received, in milliseconds; 0 from an agent that does not tell.
-    /// The worker may take some hundred milliseconds to answer, so progress is measured by this time.
-    #[serde(default)]
-    pub received_at: u64,
-    /// Runs that exist.
-    pub running: Vec<ListedRun>,
-    /// Ends of runs that the worker still has to list.
-    pub ends: Vec<End>,
-}
-
-/// Report of an agent.
-#[value]
-#[derive(Serialize, Deserialize)]
-pub struct Report {
-    /// Name of the agent.
-    pub node: String,
-    /// The agent's clock, in milliseconds.
-    pub clock: u64,
-    /// Random identifier of the agent's process; its clock may restart with the process.
-    pub session: u64,
-    /// Highest fencing token that the agent has received.
-    pub fence: u64,
-    /// Version of the fields below; grows with each change of them.
-    pub version: u64,
-    /// Newest incarnation of the worker that has certainly ended; 0 for none.
-    #[serde(rename = "over")]
-    pub ended_incarnation: u64,
-    /// Whether the worker answered the agent's last call.
-    #[serde(rename = "answers")]
-    pub is_worker_responsive: bool,
-    /// Whether the agent's process is stopping, so that it will soon take no orders.
-    #[serde(default)]
-    pub is_stopping: bool,
-    /// The worker; `None` before it has announced itself and after it has left.
-    pub worker: Option<Announcement>,
-    /// The worker's newest list; `None` before the first.
-    pub list: Option<List>,
-    /// The newest crashes of the worker that the agent noticed, the oldest first.
-    #[serde(default)]
-    pub crashes: Vec<Crash>,
-}
-
-/// What a report changed, for the log.
-#[value]
-pub enum Change {
-    /// A worker was reported for the first time, or with another incarnation.
-    Joined(String),
-    /// A worker takes no more new work.
-    Leaving(String),
-    /// A worker has crashed.
-    Crashed {
-        /// Name of the agent.
-        node: String,
-        /// The incarnation that ended.
-        incarnation: u64,
-        /// Number of runs that the crash has ended.
-        runs: usize,
-        /// Runs that had just started, and so may have caused the crash.
-        suspects: Vec<(Task, u32)>,
-        /// What the crash shows about them.
-        evidence: Evidence,
-    },
-    /// A worker announces another capacity.
-    Resized {
-        /// Name of the agent.
-        node: String,
-        /// The earlier capacity.
-        before: Resources,
-        /// The present one.
-        after: Resources,
-        /// Whether its runs need more than that.
-        is_overcommitted: bool,
-    },
-    /// A worker is avoided because of what an earlier leader has learned.
-    Recalled {
-        /// The worker's identifier.
-        worker: String,
-        /// Time for which it is avoided, in milliseconds.
-        avoided_ms: u64,
-    },
-    /// A worker listed a run for the first time.
-    Began(Task, u32),
-    /// A worker listed the end of a run.
-    Ended(Task, u32, String),
-    /// A run has ended although no worker listed its end, for a reason.
-    Lost(Task, u32, &'static str),
-    /// A task that may have crashed workers has shown that it does not.
-    Cleared(Task, u32),
-    /// A worker has a run that is not expected there.
-    Unexpected(Task, u32),
-}
-
 /// Applies a report that was received at `now` under this planner's fencing token.
 ///
 /// Returns the changes; the run of a [`Change::Unexpected`] has to be stopped.
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -46,11 +46,34 @@
         };
         let takers = tables.workers.iter().filter(takes_work).map(|(key, _)| key).collect();
         let mut availability = Availability { takers, reserved: SecondaryMap::new() };
-        for (instance, reservation) in &tables.reservations {
+        availability.reserve_steps(tables, tables.reservations.keys());
+        availability
+    }
+
+    /// Reserves what the tables hold reserved for steps.
+    pub fn reserve_steps<'a>(
+        &mut self,
+        tables: &Tables,
+        instances: impl IntoIterator<Item = &'a StepInstance>,
+    ) {
+        for instance in instances {
             let Some(step) = tables.step(*instance) else { continue };
-            availability.reserve(step, &reservation.placements);
+            let Some(reservation) = tables.reservations.get(instance) else { continue };
+            self.reserve(step, &reservation.placements);
+        }
+    }
+
+    /// Releases what the tables hold reserved for steps.
+    pub fn release_steps<'a>(
+        &mut self,
+        tables: &Tables,
+        instances: impl IntoIterator<Item = &'a StepInstance>,
+    ) {
+        for instance in instances {
+            let Some(step) = tables.step(*instance) else { continue };
+            let Some(reservation) = tables.reservations.get(instance) else { continue };
+            self.cancel_reservation(step, &reservation.placements);
         }
-        availability
     }
 
     /// Returns the free resources of a worker that are not reserved.
--- a/lib/src/batch/quarantine.rs
+++ b/lib/src/batch/quarantine.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 
 use crate::batch::assign;
+use crate::batch::event::Event;
 use crate::batch::job::Id;
 use crate::batch::job::Step;
 use crate::batch::job::Task;
@@ -118,9 +119,33 @@
     runs.filter_map(|run| Some(preempt::lost_work(tables.step(run.task.instance)?, run, now))).sum()
 }
 
+/// Places suspected tasks that run on their own, at most `most`; returns how many were placed.
+pub(super) fn place(
+    tables: &mut Tables,
+    now: Millis,
+    availability: &Availability,
+    suspects: &Candidate,
+    step: &Step,
+    most: u32,
+    events: &mut Vec<Event>,
+) -> usize {
+    let chosen = choose(tables, now, availability, suspects, step, most);
+    let Some((worker, count)) = chosen else { return 0 };
+    let is_idle = tables.workers[worker].runs.is_empty();
+    for &index in suspects.waiting.iter().take(count as usize) {
+        let task = Task { instance: suspects.instance, index };
+        let run = tables.task_state(task).map_or(1, |task_state| task_state.run + 1);
+        assign::plan_run(tables, now, task, run, worker);
+        events.push(assign::placed_event(tables, task, run, worker, 1, true));
+        let node = tables.workers[worker].node.clone();
+        events.push(Event::Quarantined { task, run, node, is_idle });
+    }
+    count as usize
+}
+
 /// Chooses the worker for suspected tasks that run on their own, and how many of them start there, at
 /// most `most`; `None` to wait.
-pub(super) fn choose(
+fn choose(
     tables: &Tables,
     now: Millis,
     availability: &Availability,
--- a/lib/src/batch/run_time.rs
+++ b/lib/src/batch/run_time.rs
@@ -12,8 +12,8 @@
 
 use crate::batch::event::Event;
 use crate::batch::job::Step;
-use crate::batch::observe::Ending;
 use crate::batch::rank;
+use crate::batch::report::Ending;
 use crate::batch::speed;
 use crate::batch::table::Job;
 use crate::batch::table::Run;
--- a/lib/src/batch/strike.rs
+++ b/lib/src/batch/strike.rs
@@ -16,16 +16,16 @@
 use lavendergauge_derive::value;
 use smallvec::SmallVec;
 
+use crate::batch::change::Change;
 use crate::batch::crash;
 use crate::batch::crash::Crash;
 use crate::batch::crash::PROBATION;
 use crate::batch::job::Id;
 use crate::batch::job::Step;
 use crate::batch::job::Task;
-use crate::batch::observe::Change;
-use crate::batch::observe::Report;
 use crate::batch::progress::Crashes;
 use crate::batch::progress::Outcome;
+use crate::batch::report::Report;
 use crate::batch::table::Tables;
 use crate::batch::table::TaskState;
 use crate::clock::Millis;
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use lavendergauge_lib::batch::change::Change;
 use lavendergauge_lib::batch::config::Account;
 use lavendergauge_lib::batch::config::Bounds;
 use lavendergauge_lib::batch::config::Config;
@@ -27,19 +28,18 @@
 use lavendergauge_lib::batch::job::Submission;
 use lavendergauge_lib::batch::job::Task;
 use lavendergauge_lib::batch::observe;
-use lavendergauge_lib::batch::observe::Announcement;
-use lavendergauge_lib::batch::observe::Change;
-use lavendergauge_lib::batch::observe::End;
-use lavendergauge_lib::batch::observe::Ending;
-use lavendergauge_lib::batch::observe::List;
-use lavendergauge_lib::batch::observe::ListedRun;
-use lavendergauge_lib::batch::observe::Report;
 use lavendergauge_lib::batch::order;
 use lavendergauge_lib::batch::order::Answer;
 use lavendergauge_lib::batch::order::Order;
 use lavendergauge_lib::batch::order::Verb;
 use lavendergauge_lib::batch::progress::Progress;
 use lavendergauge_lib::batch::records;
+use lavendergauge_lib::batch::report::Announcement;
+use lavendergauge_lib::batch::report::End;
+use lavendergauge_lib::batch::report::Ending;
+use lavendergauge_lib::batch::report::List;
+use lavendergauge_lib::batch::report::ListedRun;
+use lavendergauge_lib::batch::report::Report;
 use lavendergauge_lib::batch::table;
 use lavendergauge_lib::batch::table::Tables;
 use lavendergauge_lib::batch::tick;
@@ -564,7 +564,7 @@
         if !self.store_down {
             self.store();
         }
-        for dispatch in dispatch::orders(&mut self.tables, now) {
+        for dispatch in dispatch::orders(&mut self.tables, now, &mut Vec::new()) {
             let index = self.workers.iter().position(|w| w.node == dispatch.node);
             let Some(index) = index else { continue };
             let answer = self.carry_out(index, &dispatch.order);
