--- a/lib/tests/batch_crash.rs
+++ b/lib/tests/batch_crash.rs
@@ -30,18 +30,18 @@
 }
 
 /// Submits a job all of whose tasks crash their workers.
-fn submit_deadly(sim: &mut Simulation, queue: &str, steps: Vec<Step>) -> Id {
+fn submit_crashing(sim: &mut Simulation, queue: &str, steps: Vec<Step>) -> Id {
     let count = steps[0].tasks;
     let id = sim.submit(queue, "brno", steps, 4000);
-    sim.deadly.extend((0..count).map(|index| task(id, index)));
+    sim.crashing.extend((0..count).map(|index| task(id, index)));
     id
 }
 
 /// Returns the tasks of other jobs that crashes have ended from a time on.
-fn bystanders(sim: &Simulation, guilty: Id, since: u64) -> BTreeSet<Task> {
+fn bystanders(sim: &Simulation, at_fault: Id, since: u64) -> BTreeSet<Task> {
     let later = sim.crashes.iter().filter(|(at, _)| since < *at);
     let lost = later.flat_map(|(_, tasks)| tasks.iter().copied());
-    lost.filter(|task| task.instance.job != guilty).collect()
+    lost.filter(|task| task.instance.job != at_fault).collect()
 }
 
 #[test]
@@ -51,7 +51,7 @@
         let others: Vec<Id> =
             (0..6).map(|_| sim.submit("plain", "praha", vec![step(3, 1, 5000)], 5000)).collect();
         sim.run_for(1500);
-        let id = submit_deadly(&mut sim, "urgent", vec![Step { gang, ..step(tasks, 2, 4000) }]);
+        let id = submit_crashing(&mut sim, "urgent", vec![Step { gang, ..step(tasks, 2, 4000) }]);
         assert!(sim.run_until_ended(60_000), "{tasks} {gang}: {} crashes", sim.crashes.len());
         assert_eq!(sim.state(id), Some(State::Failed));
         for index in 0..tasks {
@@ -68,7 +68,7 @@
     // A leader is lost a while after each crash, before or after the worker is back.
     for after in [20, 500, DOWN_MS - 20, DOWN_MS, DOWN_MS + 20, DOWN_MS + 200] {
         let mut sim = Simulation::new(2);
-        let id = submit_deadly(&mut sim, "plain", vec![step(1, 2, 4000)]);
+        let id = submit_crashing(&mut sim, "plain", vec![step(1, 2, 4000)]);
         let mut handled = 0;
         while sim.submitted[&id].ended.is_none() && sim.now < 300_000 {
             sim.run_for(20);
@@ -88,7 +88,7 @@
     let mut sim = Simulation::new(3);
     let others: Vec<Id> =
         (0..4).map(|_| sim.submit("plain", "praha", vec![step(5, 1, 3000)], 3000)).collect();
-    let id = submit_deadly(&mut sim, "plain", vec![step(1, 1, 3000)]);
+    let id = submit_crashing(&mut sim, "plain", vec![step(1, 1, 3000)]);
     sim.run_for(500);
     assert_eq!(sim.crashes.len(), 1);
     let first = sim.crashes[0].0;
@@ -188,7 +188,7 @@
     sim.submit("plain", "praha", vec![busy], 60_000);
     sim.run_for(100);
     for _ in 0..2 {
-        let id = submit_deadly(&mut sim, "plain", vec![step(1, 8, 1000)]);
+        let id = submit_crashing(&mut sim, "plain", vec![step(1, 8, 1000)]);
         sim.run_for(2 * DOWN_MS + 500);
         assert_eq!(sim.state(id), Some(State::Failed));
         assert_eq!(start_count(&sim, task(id, 0)), 2);
@@ -199,7 +199,7 @@
 fn crashing_gang() {
     // Crashes of three workers at a time by one gang are no common cause.
     let mut sim = Simulation::new(2);
-    let id = submit_deadly(&mut sim, "plain", vec![Step { gang: true, ..step(3, 8, 1000) }]);
+    let id = submit_crashing(&mut sim, "plain", vec![Step { gang: true, ..step(3, 8, 1000) }]);
     assert!(sim.run_until_ended(30_000));
     assert_eq!(sim.state(id), Some(State::Failed));
     assert_eq!(start_count(&sim, task(id, 0)), 2);
@@ -215,7 +215,7 @@
     let sound = sim.submit("plain", "praha", vec![step(1, 4, 20_000)], 20_000);
     for _ in 0..4 {
         sim.run_for(2000);
-        submit_deadly(&mut sim, "plain", vec![step(1, 4, 1000)]);
+        submit_crashing(&mut sim, "plain", vec![step(1, 4, 1000)]);
         sim.run_for(4 * DOWN_MS);
     }
     let lost = sim.crashes.iter().filter(|(_, tasks)| tasks.contains(&task(sound, 0))).count();
@@ -230,7 +230,7 @@
     for takes_over in [false, true] {
         for first in 0..3 {
             let mut sim = Simulation::new(2);
-            let id = submit_deadly(&mut sim, "plain", vec![step(1, 2, 4000)]);
+            let id = submit_crashing(&mut sim, "plain", vec![step(1, 2, 4000)]);
             while sim.crashes.len() <= first && sim.submitted[&id].ended.is_none() {
                 sim.run_for(20);
             }
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -1,8 +1,8 @@
 //! Simulation of workers around the planner's tables, with a clock of its own.
 //!
 //! It runs a workload against the planner's decisions and checks three invariants at every step: no
-//! start brings a worker over its capacity, no task has two runs at a time, and the lists and figures that the
-//! tables keep are what their rows say.
+//! start brings a worker over its capacity, no task has two runs at a time, and the lists and figures
+//! that the tables keep are what their rows say.
 
 #![allow(dead_code)]
 
@@ -170,13 +170,13 @@
     /// Orders to run at a share of the full speed, in percent.
     pub paced: Vec<(Task, u32)>,
     /// Tasks that crash every worker that starts them.
-    pub deadly: BTreeSet<Task>,
+    pub crashing: BTreeSet<Task>,
     /// Every crash of a worker: its time, and the tasks that ran there.
     pub crashes: Vec<(u64, Vec<Task>)>,
     /// Time for which a start may still use a capacity that has shrunk, in milliseconds.
     pub capacity_grace_ms: u64,
     /// Workers on which such a task has started.
-    doomed: BTreeSet<usize>,
+    crashes_next: BTreeSet<usize>,
     next_id: u64,
 }
 
@@ -259,10 +259,10 @@
             wasted_ms: 0,
             store_down: false,
             paced: Vec::new(),
-            deadly: BTreeSet::new(),
+            crashing: BTreeSet::new(),
             crashes: Vec::new(),
             capacity_grace_ms: 0,
-            doomed: BTreeSet::new(),
+            crashes_next: BTreeSet::new(),
             next_id: 1,
         };
         sim.run_for(200);
@@ -360,7 +360,7 @@
         while self.now < until {
             self.now += STEP_MS;
             self.note_capacities();
-            for index in std::mem::take(&mut self.doomed) {
+            for index in std::mem::take(&mut self.crashes_next) {
                 self.crash(index);
             }
             self.advance_runs();
@@ -644,8 +644,8 @@
         if !worker.loses_answers {
             worker.ledger.confirm_start(order.task, order.run, now);
         }
-        if self.deadly.contains(&order.task) {
-            self.doomed.insert(index);
+        if self.crashing.contains(&order.task) {
+            self.crashes_next.insert(index);
         }
         assert!(
             !self.done.contains(&order.task) || self.is_end_lost(order.task),
