batch: names that a newcomer reads once

Cause: a reading of the diff as a newcomer: without_waiting left out the tasks that are held back, and whether a worker is over its capacity was asked with an empty sum. Change: names and comments only. Measured: clippy and the doc build are clean; the tests of lib pass.

--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -114,7 +114,7 @@
         }
         events.extend(trust::explain_wait(tables, now, &availability, candidate, &step));
         let remaining = still_waiting(tables, candidate);
-        let remaining = quarantine::without_waiting(tables, now, remaining, &step);
+        let remaining = quarantine::without_held_back(tables, now, remaining, &step);
         if remaining.waiting.is_empty() {
             continue;
         }
--- a/lib/src/batch/dispatch.rs
+++ b/lib/src/batch/dispatch.rs
@@ -15,7 +15,6 @@
 use crate::batch::table::Tables;
 use crate::clock::Millis;
 use crate::key;
-use crate::resource::Resources;
 
 /// Time after which a stop order without an answer is sent again.
 const STOP_RETRY: Duration = Duration::from_millis(700);
@@ -81,9 +80,10 @@
 fn exceeds_capacity(tables: &Tables, key: key::Run) -> bool {
     let is_unsent = |run: &&Run| run.phase == Phase::Launching && run.ordered.is_none();
     let Some(run) = tables.runs.get(key).filter(is_unsent) else { return false };
-    tables.workers.get(run.worker).is_some_and(|row| {
-        row.incarnation == run.incarnation && row.is_overcommitted_without(Resources::default())
-    })
+    tables
+        .workers
+        .get(run.worker)
+        .is_some_and(|row| row.incarnation == run.incarnation && row.is_overcommitted())
 }
 
 /// Drops a run whose start was not sent, so that its task is placed again.
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -145,7 +145,7 @@
             node: worker.node.clone(),
             before,
             after: worker.capacity,
-            is_overcommitted: worker.is_overcommitted_without(Resources::default()),
+            is_overcommitted: worker.is_overcommitted(),
         });
     }
     if worker.ready || has_new_incarnation {
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -120,7 +120,7 @@
         most: u32,
     ) -> u32 {
         let is_closed = |row: &Worker| row.quarantine.is_some_and(|job| job != instance.job);
-        let is_full = |row: &Worker| row.is_overcommitted_without(Resources::default());
+        let is_full = |row: &Worker| row.is_overcommitted();
         if tables.workers.get(worker).is_none_or(|row| is_closed(row) || is_full(row)) {
             return 0;
         }
--- a/lib/src/batch/progress.rs
+++ b/lib/src/batch/progress.rs
@@ -18,9 +18,9 @@
 #[value]
 #[derive(Copy, Default, Serialize, Deserialize)]
 pub struct Crashes {
-    /// Number of crashes.
+    /// Number of crashes that the task may have caused.
     pub count: u32,
-    /// How much speaks for the task as their cause.
+    /// How much speaks for the task as their cause; 0 once a later run has stayed at work.
     pub strikes: u32,
     /// Number of the newest run that is counted.
     pub run: u32,
--- a/lib/src/batch/quarantine.rs
+++ b/lib/src/batch/quarantine.rs
@@ -84,7 +84,7 @@
 
 /// Returns the candidate without the tasks that still wait for a worker without other runs, for which
 /// nothing is stopped or reserved.
-pub(super) fn without_waiting(
+pub(super) fn without_held_back(
     tables: &Tables,
     now: Millis,
     candidate: Candidate,
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -402,8 +402,13 @@
         self.capacity.minus(self.occupied().minus(ended))
     }
 
+    /// Tells whether its runs exceed the capacity, which may have shrunk since they started.
+    pub fn is_overcommitted(&self) -> bool {
+        self.is_overcommitted_without(Resources::default())
+    }
+
     /// Tells whether the runs that are left after runs with a sum of demands have ended exceed the
-    /// capacity, which may have shrunk since they started.
+    /// capacity.
     pub fn is_overcommitted_without(&self, ended: Resources) -> bool {
         !self.occupied().minus(ended).fits(self.capacity)
     }
--- a/lib/tests/batch_crash.rs
+++ b/lib/tests/batch_crash.rs
@@ -17,8 +17,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-/// Number of starts of a task that crashes its workers below which it is contained: three crashes and
-/// less than three more starts.
+/// Most starts of a task that crashes its workers: three crashes, and less than three more starts.
 const MOST_STARTS: usize = 5;
 
 fn task(job: Id, index: u32) -> Task {
