batch losses: accounts for late jobs from the entries' logs

Cause: nothing told why a job was late; the lines of one job had to be read by hand, and the log did not say when an occurrence was due, what its objective was or that its caller had cancelled it.

Change: the planner logs occurrence-begun, job-cancelled and, once a second while steps wait, the occupancy of the fleet. `lavendergauge batch losses FILE...` reads these with the lines on runs and says, by queue, client account or moment, how many jobs were late or lost and what took most of their time.

--- a/cli/src/commands/batch.rs
+++ b/cli/src/commands/batch.rs
@@ -1,9 +1,11 @@
-//! `lavendergauge batch`: explains decisions about batch jobs.
+//! `lavendergauge batch`: explains decisions about batch jobs and their results.
 
 use std::fmt::Write;
 use std::fs;
 use std::time::Duration;
 
+use clap::Arg;
+use clap::ArgAction;
 use clap::ArgGroup;
 use clap::ArgMatches;
 use clap::Command;
@@ -23,6 +25,8 @@
 use crate::context::text;
 use crate::error;
 use crate::error::Error;
+use crate::loss;
+use crate::loss::Grouping;
 use crate::report::Report;
 
 /// Deadline of the question: that of an entry which passes it on to the leader, and a margin.
@@ -30,22 +34,44 @@
 
 /// Returns the command with its arguments.
 pub fn command() -> Command {
-    Command::new("batch").about("Batch jobs").subcommand_required(true).subcommand(
-        Command::new("explain")
-            .about("Explain where a job would be placed now, or why a job waits")
-            .arg(option("queue", "Name of the queue").required(true))
-            .arg(option("account", "Name of the client account; empty for none").required(true))
-            .arg(option("job", "File with a job as callers submit it; it is not submitted"))
-            .arg(option("id", "Identifier of a submitted job"))
-            .arg(flag("json", "The same as --format json"))
-            .arg(
-                option("fleet-key", "Key of the fleet; preferably set in the environment")
-                    .env("LAVENDERGAUGE_FLEET_KEY")
-                    .hide_env_values(true)
-                    .default_value(""),
-            )
-            .group(ArgGroup::new("subject").args(["job", "id"]).required(true)),
-    )
+    Command::new("batch")
+        .about("Batch jobs")
+        .subcommand_required(true)
+        .subcommand(explain_command())
+        .subcommand(losses_command())
+}
+
+fn explain_command() -> Command {
+    Command::new("explain")
+        .about("Explain where a job would be placed now, or why a job waits")
+        .arg(option("queue", "Name of the queue").required(true))
+        .arg(option("account", "Name of the client account; empty for none").required(true))
+        .arg(option("job", "File with a job as callers submit it; it is not submitted"))
+        .arg(option("id", "Identifier of a submitted job"))
+        .arg(flag("json", "The same as --format json"))
+        .arg(
+            option("fleet-key", "Key of the fleet; preferably set in the environment")
+                .env("LAVENDERGAUGE_FLEET_KEY")
+                .hide_env_values(true)
+                .default_value(""),
+        )
+        .group(ArgGroup::new("subject").args(["job", "id"]).required(true))
+}
+
+fn losses_command() -> Command {
+    Command::new("losses")
+        .about("Account for jobs that ended late or not at all, from the logs of the entries")
+        .arg(
+            option("by", "What the rows stand for")
+                .value_parser(["queue", "account", "moment"])
+                .default_value("queue"),
+        )
+        .arg(
+            Arg::new("FILE")
+                .help("Log file of one or more entries")
+                .required(true)
+                .action(ArgAction::Append),
+        )
 }
 
 /// Tells whether the arguments of the command ask for JSON.
@@ -53,14 +79,43 @@
     matches.subcommand_matches("explain").is_some_and(|explain| explain.get_flag("json"))
 }
 
-/// Asks the entry at the peer address that `--entry` names.
+/// Runs a command; a question goes to the entry at the peer address that `--entry` names.
 ///
 /// # Errors
 /// When a file is invalid, or the entry cannot be reached or refuses the question.
 pub async fn run(context: &Context, matches: &ArgMatches) -> Result<Report, Error> {
-    let Some(matches) = matches.subcommand_matches("explain") else {
-        return Ok(Report::new("", &()));
+    match matches.subcommand() {
+        Some(("explain", matches)) => explain(context, matches).await,
+        Some(("losses", matches)) => losses(matches),
+        _ => Ok(Report::new("", &())),
+    }
+}
+
+/// Reads the logs and accounts for what they show.
+fn losses(matches: &ArgMatches) -> Result<Report, Error> {
+    let grouping = match text(matches, "by") {
+        "account" => Grouping::Account,
+        "moment" => Grouping::Moment,
+        _ => Grouping::Queue,
     };
+    let files: Vec<&String> = matches.get_many("FILE").unwrap_or_default().collect();
+    let mut logs = Vec::new();
+    for file in files {
+        let bytes = fs::read(file).map_err(|error| {
+            let text = format!("{file}: {error}");
+            Error::with_code(error::USAGE, text, "pass a file with log lines")
+        })?;
+        logs.push(String::from_utf8_lossy(&bytes).into_owned());
+    }
+    let summary = loss::summarise(&logs, grouping);
+    if summary.rows.is_empty() && summary.cancelled == 0 {
+        let hint = "pass the logs of the entries, at the level info";
+        return Err(Error::with_code(error::USAGE, "the logs show no batch job", hint));
+    }
+    Ok(Report::new(summary.render(), &summary))
+}
+
+async fn explain(context: &Context, matches: &ArgMatches) -> Result<Report, Error> {
     let (file, id) = (text(matches, "job"), text(matches, "id"));
     let subject = if file.is_empty() {
         let hint = "pass 16 lower-case hexadecimal digits";
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod context;
 pub mod difference;
 pub mod error;
+pub mod loss;
 pub mod questions;
 pub mod report;
 pub mod trace;
--- a/daemon/src/batch/event_log.rs
+++ b/daemon/src/batch/event_log.rs
@@ -1,6 +1,7 @@
 //! Logs and counts what the planner decides and observes.
 
 use lavendergauge_lib::batch::change::Change;
+use lavendergauge_lib::batch::event::Beginning;
 use lavendergauge_lib::batch::event::Event;
 use metrics::counter;
 use metrics::histogram;
@@ -12,6 +13,8 @@
 pub fn log_event(event: &Event, config: u64) {
     match event {
         Event::Changed(change) => log_change(change),
+        Event::Begun(beginning) => log_beginning(beginning),
+        Event::Cancelled(id) => log::info!("event=job-cancelled job={id}"),
         Event::Placed { task, run, node, choices, near } => log::info!(
             "event=placed task={task} run={run} worker={node} choices={choices} near={near} \
              config={config}"
@@ -54,6 +57,19 @@
                 Value(account)
             );
         }
+        Event::Occupancy(occupancy) => {
+            histogram!("lavendergauge_free_accelerators").record(occupancy.free as f64);
+            log::info!(
+                "event=occupancy workers={} idle_workers={} accelerators={} free={} headroom={} \
+                 waiting={}",
+                occupancy.workers,
+                occupancy.idle_workers,
+                occupancy.accelerators,
+                occupancy.free,
+                occupancy.headroom,
+                occupancy.waiting
+            );
+        }
         Event::Shortage(_) | Event::Raised(..) | Event::Weighed(_) | Event::Shares(_) => {
             log_choice(event);
         }
@@ -129,6 +145,23 @@
     }
 }
 
+fn log_beginning(beginning: &Beginning) {
+    histogram!("lavendergauge_occurrence_objective_seconds")
+        .record(beginning.objective_ms as f64 / 1000.0);
+    log::info!(
+        "event=occurrence-begun job={} occurrence={} queue={} account={} tasks={} \
+         work_core_ms={} objective_ms={} waited_ms={}",
+        beginning.job,
+        beginning.occurrence,
+        Value(&beginning.queue),
+        Value(&beginning.account),
+        beginning.tasks,
+        beginning.work,
+        beginning.objective_ms,
+        beginning.waited_ms
+    );
+}
+
 /// Logs and counts a decision between callers when not all can be served in time.
 fn log_choice(event: &Event) {
     match event {
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -21,6 +21,7 @@
 pub mod job;
 pub mod learned;
 pub mod observe;
+pub mod occupancy;
 pub mod order;
 pub mod pace;
 pub mod place;
--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -10,6 +10,7 @@
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
+use crate::batch::occupancy;
 use crate::batch::place;
 use crate::batch::place::Availability;
 use crate::batch::quarantine;
@@ -66,6 +67,7 @@
     tables.explained.retain(|instance, _| waiting.contains(instance));
     tables.trust.retain(&waiting);
     let mut headroom = Headroom::of(tables, now);
+    occupancy::note(tables, now, &headroom, candidates.len(), events);
     let examinations = reservation::Examinations::new(tables, now, &candidates);
     for candidate in &candidates {
         let Some(step) = tables.step(candidate.instance).cloned() else { continue };
--- a/lib/src/batch/event.rs
+++ b/lib/src/batch/event.rs
@@ -8,6 +8,7 @@
 use crate::batch::job::Id;
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
+use crate::batch::occupancy::Occupancy;
 use crate::batch::progress::Crashes;
 use crate::batch::progress::Outcome;
 use crate::batch::share;
@@ -16,11 +17,36 @@
 use crate::batch::trust::Suspicion;
 use crate::batch::wait::Wait;
 
+/// What is known about an occurrence of a job when it begins.
+#[value]
+pub struct Beginning {
+    /// The job.
+    pub job: Id,
+    /// Number of the occurrence.
+    pub occurrence: u32,
+    /// Name of the queue.
+    pub queue: String,
+    /// Name of the client account.
+    pub account: String,
+    /// Number of tasks in all steps.
+    pub tasks: u32,
+    /// Work by the caller's estimates, in core-milliseconds.
+    pub work: u64,
+    /// Time from its due time in which it should end, by the caller's estimates, in milliseconds.
+    pub objective_ms: u64,
+    /// Time since it was due, in milliseconds.
+    pub waited_ms: u64,
+}
+
 /// A decision of a tick or a change that it observed, for the log.
 #[value]
 pub enum Event {
     /// A change that no decision of the planner caused.
     Changed(Change),
+    /// An occurrence of a job has begun: its tasks may be placed.
+    Begun(Beginning),
+    /// The caller of a job has cancelled it.
+    Cancelled(Id),
     /// A task was placed on a worker.
     Placed {
         /// The task.
@@ -62,6 +88,8 @@
         /// Number of observations, as far as they have not aged.
         observations: u32,
     },
+    /// How much of the fleet is in use while steps wait; at most one a second.
+    Occupancy(Occupancy),
     /// Not all waiting steps can be served in time; at most one a second.
     Shortage(shortage::Summary),
     /// A step that has waited beyond its bound precedes all that are not guaranteed.
--- a/lib/src/batch/headroom.rs
+++ b/lib/src/batch/headroom.rs
@@ -92,6 +92,11 @@
         most.min(u32::try_from(tasks).unwrap_or(u32::MAX))
     }
 
+    /// Returns the number of accelerators that less urgent steps leave free.
+    pub(super) fn kept(&self) -> u64 {
+        self.kept
+    }
+
     /// Notes that a number of accelerators is in use.
     pub fn take(&mut self, accelerators: u32) {
         self.free = self.free.saturating_sub(u64::from(accelerators));
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -25,6 +25,7 @@
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
 use crate::batch::learned;
+use crate::batch::occupancy;
 use crate::batch::pace;
 use crate::batch::policy::Policy;
 use crate::batch::progress::Crashes;
@@ -474,6 +475,8 @@
     pub run_times: run_time::RunTimes,
     /// Capacity in use by expected end, and earlier decisions on waiting steps.
     pub shortage: shortage::State,
+    /// When it was logged how much of the fleet is in use.
+    pub occupancy: occupancy::State,
     /// What each client account holds and has used.
     pub shares: share::State,
     /// Samples of the speed of workers, by step.
@@ -534,6 +537,7 @@
             explained: BTreeMap::new(),
             run_times: run_time::RunTimes::default(),
             shortage: shortage::State::default(),
+            occupancy: occupancy::State::default(),
             shares: share::State::default(),
             paces: speed::Steps::default(),
             urgent_arrivals: headroom::Arrivals::default(),
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -1,13 +1,18 @@
 //! One tick of the planner: runs the systems over the tables in order.
 
+use std::time::Duration;
+
 use smallvec::SmallVec;
 
 use crate::batch::assign;
+use crate::batch::event::Beginning;
 use crate::batch::event::Event;
 use crate::batch::job::Id;
+use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
 use crate::batch::pace;
+use crate::batch::preempt;
 use crate::batch::progress::Outcome;
 use crate::batch::quarantine;
 use crate::batch::rank;
@@ -40,7 +45,7 @@
 
 /// Runs every system that precedes placement, which determine the tasks that wait.
 pub(super) fn prepare(tables: &mut Tables, now: Millis, wall_ms: u64, events: &mut Vec<Event>) {
-    begin_due(tables, now, wall_ms);
+    begin_due(tables, now, wall_ms, events);
     supervise::end_expired(tables, now, events);
     quarantine::release(tables);
     let changed_workers = std::mem::take(&mut tables.changed_workers);
@@ -56,7 +61,7 @@
 }
 
 /// Begins occurrences that are due.
-fn begin_due(tables: &mut Tables, now: Millis, wall_ms: u64) {
+fn begin_due(tables: &mut Tables, now: Millis, wall_ms: u64, events: &mut Vec<Event>) {
     let ids: SmallVec<[Id; 16]> = tables.recurring.iter().copied().collect();
     for id in ids {
         let Some(job) = tables.jobs.get_mut(&id) else { continue };
@@ -72,6 +77,7 @@
                 .map(|step| (0..step.tasks).map(|_| TaskState::default()).collect())
                 .collect();
             job.occurrences.insert(job.next, Occurrence { steps, due });
+            events.push(Event::Begun(beginning(id, job, job.next, now.since(due))));
             job.next += 1;
             tables.unsettled.insert(id);
         }
@@ -81,6 +87,21 @@
     }
 }
 
+fn beginning(id: Id, job: &Job, occurrence: u32, waited: Duration) -> Beginning {
+    let work =
+        |step: &Step| preempt::cores(step) * rank::estimated_ms(step) * u64::from(step.tasks);
+    Beginning {
+        job: id,
+        occurrence,
+        queue: job.queue.name.clone(),
+        account: job.record.account.clone(),
+        tasks: job.steps().iter().map(|step| step.tasks).sum(),
+        work: job.steps().iter().map(work).sum(),
+        objective_ms: rank::objective_ms(job),
+        waited_ms: waited.as_millis() as u64,
+    }
+}
+
 /// Decides which of the changed jobs have ended, stops the runs that are not needed any more, and
 /// determines which tasks wait.
 fn settle(tables: &mut Tables, wall_ms: u64, events: &mut Vec<Event>) {
@@ -96,8 +117,11 @@
             }
         } else {
             job.waiting = Vec::new();
+            let is_cancelled = job.outcome.is_none();
             tables.waiting.remove(&id);
-            tables.active.remove(&id);
+            if tables.active.remove(&id) && is_cancelled {
+                events.push(Event::Cancelled(id));
+            }
             stop_unneeded(tables, id, events);
         }
         // What was decided here is settled.
