headroom: whole workers are left to urgent gangs, for 1.6 s of arrivals

The headroom counted free accelerators, so it held although no gang fitted.

Change: less urgent steps leave the workers with the most free capacity, as many as the urgent jobs of the next 1.6 s (0.8 before) are expected to need by their dominant resource, at most 15 % of the fleet, and none while half of it is free.

--- a/cli/src/commands/batch.rs
+++ b/cli/src/commands/batch.rs
@@ -63,7 +63,7 @@
         .about("Account for jobs that ended late or not at all, from the logs of the entries")
         .arg(
             option("by", "What the rows stand for")
-                .value_parser(["queue", "account", "moment"])
+                .value_parser(["queue", "priority", "account", "moment"])
                 .default_value("queue"),
         )
         .arg(
@@ -94,6 +94,7 @@
 /// Reads the logs and accounts for what they show.
 fn losses(matches: &ArgMatches) -> Result<Report, Error> {
     let grouping = match text(matches, "by") {
+        "priority" => Grouping::Priority,
         "account" => Grouping::Account,
         "moment" => Grouping::Moment,
         _ => Grouping::Queue,
--- a/cli/src/loss.rs
+++ b/cli/src/loss.rs
@@ -23,6 +23,8 @@
 pub enum Grouping {
     /// The queue of the job.
     Queue,
+    /// The priority of the queue.
+    Priority,
     /// The client account of the job.
     Account,
     /// The time at which the occurrence was due, since the first one.
@@ -64,7 +66,7 @@
 /// ```
 /// use lavendergauge_cli::loss;
 /// let log = "time_ms=10 level=info event=occurrence-begun job=00000000000000a1 occurrence=0 \
-///            queue=q account=brno tasks=1 work_core_ms=8000 objective_ms=900 waited_ms=0\n\
+///            queue=q priority=0 account=brno tasks=1 work_core_ms=8000 objective_ms=900 waited_ms=0\n\
 ///            time_ms=20 level=info event=placed task=00000000000000a1.0.0.0 run=1 worker=w\n\
 ///            time_ms=2020 level=info event=ended task=00000000000000a1.0.0.0 run=1 outcome=done\n";
 /// let summary = loss::summarise(&[log.to_owned()], loss::Grouping::Queue);
@@ -107,6 +109,7 @@
 fn group(history: &History, grouping: Grouping, first_ms: u64) -> String {
     match grouping {
         Grouping::Queue => history.queue.clone(),
+        Grouping::Priority => history.priority.to_string(),
         Grouping::Account => history.account.clone(),
         Grouping::Moment => {
             let start_s = (history.due_ms - first_ms) / MOMENT_MS * MOMENT_MS / 1000;
--- a/cli/src/loss/history.rs
+++ b/cli/src/loss/history.rs
@@ -30,6 +30,8 @@
 pub struct History {
     /// Name of the queue.
     pub queue: String,
+    /// Priority of the queue; 0 is the most urgent.
+    pub priority: u32,
     /// Name of the client account.
     pub account: String,
     /// When it was due, in Unix milliseconds.
@@ -130,6 +132,7 @@
         let waited_ms: u64 = line.number("waited_ms")?;
         let history = History {
             queue: line.field("queue")?.to_owned(),
+            priority: line.number("priority")?,
             account: line.field("account")?.to_owned(),
             due_ms: line.time_ms.saturating_sub(waited_ms),
             objective_ms: line.number("objective_ms")?,
--- a/daemon/src/batch/event_log.rs
+++ b/daemon/src/batch/event_log.rs
@@ -149,11 +149,12 @@
     histogram!("lavendergauge_occurrence_objective_seconds")
         .record(beginning.objective_ms as f64 / 1000.0);
     log::info!(
-        "event=occurrence-begun job={} occurrence={} queue={} account={} tasks={} \
-         work_core_ms={} objective_ms={} waited_ms={}",
+        "event=occurrence-begun job={} occurrence={} queue={} priority={} account={} \
+         tasks={} work_core_ms={} objective_ms={} waited_ms={}",
         beginning.job,
         beginning.occurrence,
         Value(&beginning.queue),
+        beginning.priority,
         Value(&beginning.account),
         beginning.tasks,
         beginning.work,
--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -6,7 +6,7 @@
 use lavendergauge_derive::token;
 
 use crate::batch::event::Event;
-use crate::batch::headroom::Headroom;
+use crate::batch::headroom;
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
@@ -66,34 +66,26 @@
     tables.examined.retain(|instance, _| waiting.contains(instance));
     tables.explained.retain(|instance, _| waiting.contains(instance));
     tables.trust.retain(&waiting);
-    let mut headroom = Headroom::of(tables, now);
-    occupancy::note(tables, now, &headroom, candidates.len(), events);
+    occupancy::note(tables, now, candidates.len(), events);
     let examinations = reservation::Examinations::new(tables, now, &candidates);
     for candidate in &candidates {
         let Some(step) = tables.step(candidate.instance).cloned() else { continue };
-        let waiting = candidate.waiting.len() as u32;
-        let allowed = headroom.allowed(now, candidate, step.accelerators, waiting);
-        if allowed == 0 || (step.gang && allowed < waiting) {
-            continue;
-        }
+        availability.set_yielding(tables, now, headroom::yields(now, candidate));
         if let Some(reservation) = tables.reservations.get(&candidate.instance) {
             availability.cancel_reservation(&step, &reservation.placements);
         }
-        let runs_before = tables.runs.len();
-        let mut placed = place(tables, now, &availability, candidate, &step, allowed, events);
+        let mut placed = place(tables, now, &availability, candidate, &step, events);
         if placed == Placed::None && reservation::are_exclusive(tables) {
             let conflicts = reservation::newer_conflicts(tables, candidate.instance);
             if !conflicts.is_empty() {
                 availability.release_steps(tables, &conflicts);
-                placed = place(tables, now, &availability, candidate, &step, allowed, events);
+                placed = place(tables, now, &availability, candidate, &step, events);
                 availability.reserve_steps(tables, &conflicts);
                 if placed != Placed::None {
                     events.push(Event::Overridden(candidate.instance, conflicts.len()));
                 }
             }
         }
-        let placed_count = (tables.runs.len() - runs_before) as u32;
-        headroom.take(placed_count * step.accelerators);
         let reservation = match placed {
             Placed::All => {
                 tables.reservations.remove(&candidate.instance);
@@ -134,14 +126,13 @@
     }
 }
 
-/// Places as many tasks of a candidate as there is capacity for, at most `most`; a gang as a whole.
+/// Places as many tasks of a candidate as there is capacity for; a gang as a whole.
 fn place(
     tables: &mut Tables,
     now: Millis,
     availability: &Availability,
     candidate: &Candidate,
     step: &Step,
-    most: u32,
     events: &mut Vec<Event>,
 ) -> Placed {
     if !availability.has_room(tables, step) {
@@ -149,7 +140,7 @@
     } else if step.gang {
         place_gang(tables, now, availability, candidate, step, events)
     } else {
-        place_tasks(tables, now, availability, candidate, step, most, events)
+        place_tasks(tables, now, availability, candidate, step, events)
     }
 }
 
@@ -281,16 +272,16 @@
     Placed::All
 }
 
-/// Places as many of the waiting tasks as there is capacity for, at most `most`.
+/// Places as many of the waiting tasks as there is capacity for.
 fn place_tasks(
     tables: &mut Tables,
     now: Millis,
     availability: &Availability,
     candidate: &Candidate,
     step: &Step,
-    most: u32,
     events: &mut Vec<Event>,
 ) -> Placed {
+    let most = candidate.waiting.len() as u32;
     let Some((suspects, others)) = quarantine::split(tables, candidate) else {
         let placed = place_parts(tables, now, availability, candidate, step, most, events);
         return Placed::count(placed, candidate);
--- a/lib/src/batch/event.rs
+++ b/lib/src/batch/event.rs
@@ -26,6 +26,8 @@
     pub occurrence: u32,
     /// Name of the queue.
     pub queue: String,
+    /// Priority of the queue; 0 is the most urgent.
+    pub priority: u32,
     /// Name of the client account.
     pub account: String,
     /// Number of tasks in all steps.
--- a/lib/src/batch/occupancy.rs
+++ b/lib/src/batch/occupancy.rs
@@ -6,7 +6,7 @@
 use lavendergauge_derive::value;
 
 use crate::batch::event::Event;
-use crate::batch::headroom::Headroom;
+use crate::batch::headroom;
 use crate::batch::table::Tables;
 use crate::clock::Millis;
 
@@ -25,8 +25,8 @@
     pub accelerators: u64,
     /// Accelerators that no run occupies.
     pub free: u64,
-    /// Accelerators that less urgent steps leave free for urgent ones.
-    pub headroom: u64,
+    /// Workers that less urgent steps leave to urgent ones.
+    pub headroom: usize,
     /// Steps that wait for workers.
     pub waiting: usize,
 }
@@ -39,19 +39,14 @@
 }
 
 /// Logs the occupancy while steps wait, at most once a second; it visits all workers.
-pub(super) fn note(
-    tables: &mut Tables,
-    now: Millis,
-    headroom: &Headroom,
-    waiting: usize,
-    events: &mut Vec<Event>,
-) {
+pub(super) fn note(tables: &mut Tables, now: Millis, waiting: usize, events: &mut Vec<Event>) {
     let is_recent = tables.occupancy.noted_at.is_some_and(|at| now.since(at) < LOG_INTERVAL);
     if waiting == 0 || is_recent {
         return;
     }
     tables.occupancy.noted_at = Some(now);
-    let mut occupancy = Occupancy { headroom: headroom.kept(), waiting, ..Occupancy::default() };
+    let headroom = headroom::workers(tables, now).len();
+    let mut occupancy = Occupancy { headroom, waiting, ..Occupancy::default() };
     for worker in tables.workers.values().filter(|worker| worker.ready && worker.is_reachable) {
         occupancy.workers += 1;
         occupancy.idle_workers += u32::from(worker.runs.is_empty());
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use crate::batch::advice;
+use crate::batch::headroom;
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
 use crate::batch::rank::Candidate;
@@ -33,6 +34,10 @@
     takers: Vec<key::Worker>,
     /// Resources of each worker reserved for waiting steps; other runs may still use them.
     reserved: SecondaryMap<key::Worker, Resources>,
+    /// Workers that are left to urgent work, sorted; `None` until a step asks for them.
+    left_free: Option<Vec<key::Worker>>,
+    /// Whether the step that is placed leaves these workers free.
+    is_yielding: bool,
 }
 
 impl Availability {
@@ -45,11 +50,29 @@
                 && !tables.evacuated.contains(&worker.data_centre)
         };
         let takers = tables.workers.iter().filter(takes_work).map(|(key, _)| key).collect();
-        let mut availability = Availability { takers, reserved: SecondaryMap::new() };
+        let mut availability = Availability { takers, ..Availability::default() };
         availability.reserve_steps(tables, tables.reservations.keys());
         availability
     }
 
+    /// Sets whether the next step leaves workers free for more urgent ones.
+    pub fn set_yielding(&mut self, tables: &Tables, now: Millis, is_yielding: bool) {
+        self.is_yielding = is_yielding;
+        if is_yielding && self.left_free.is_none() {
+            // The more urgent steps of this tick are placed by now.
+            let mut workers = headroom::workers(tables, now);
+            workers.sort_unstable();
+            self.left_free = Some(workers);
+        }
+    }
+
+    /// Returns the workers that the next step may use, whatever their service.
+    fn open(&self) -> impl Iterator<Item = key::Worker> {
+        let left_free = self.left_free.as_deref().filter(|_| self.is_yielding).unwrap_or_default();
+        let is_open = |worker: &key::Worker| left_free.binary_search(worker).is_err();
+        self.takers.iter().copied().filter(is_open)
+    }
+
     /// Reserves what the tables hold reserved for steps.
     pub fn reserve_steps<'a>(
         &mut self,
@@ -90,7 +113,7 @@
     /// Tells whether a task of a step fits on any worker that takes new work.
     pub fn has_room(&self, tables: &Tables, step: &Step) -> bool {
         let demand = step.resources();
-        self.takers.iter().any(|worker| demand.fits(self.unreserved(tables, *worker)))
+        self.open().any(|worker| demand.fits(self.unreserved(tables, worker)))
     }
 
     /// Reserves resources for a waiting step.
@@ -183,7 +206,7 @@
         let worker = &tables.workers[*key];
         worker.service == job.queue.service && suits(worker, step)
     };
-    availability.takers.iter().copied().filter(serves).collect()
+    availability.open().filter(serves).collect()
 }
 
 /// Finds workers of a pool for `count` tasks of a step, all or none.
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -597,7 +597,7 @@
             recorded_version: 0,
         };
         if job.queue.priority == 0 && job.record.submission.repeat.count == 0 {
-            self.urgent_arrivals.record(accepted, rank::accelerators_needed(&job));
+            self.urgent_arrivals.record(accepted, headroom::Need::of(&job));
         }
         self.jobs.insert(id, job);
         self.active.insert(id);
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -94,6 +94,7 @@
         job: id,
         occurrence,
         queue: job.queue.name.clone(),
+        priority: job.queue.priority,
         account: job.record.account.clone(),
         tasks: job.steps().iter().map(|step| step.tasks).sum(),
         work: job.steps().iter().map(work).sum(),
