shortage: one noun a file

Cause: shortage.rs held 772 lines with the classes, the supply of capacity, the order and the measure of preemption, and each could read the other's fields.

Change: a folder with class, supply, order and measure; the parent keeps what is raised and logged. What runs occupy by expected end is the supply's own ledger. No behaviour changes; the tests of the module are as they were but for the paths.

--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -56,7 +56,7 @@
     let mut availability = Availability::of(tables, now);
     refill::place_refused(tables, now, &availability, events);
     let covered = rank::covered(tables);
-    shortage::count_workers(tables, now);
+    shortage::supply::count_workers(tables, now);
     share::settle(tables, now);
     let candidates = rank::candidates(tables, &covered, now);
     shortage::note(tables, now, &candidates, events);
--- a/lib/src/batch/event.rs
+++ b/lib/src/batch/event.rs
@@ -98,7 +98,7 @@
     Raised(StepInstance, Duration),
     /// It was weighed whether to stop runs for a step; at most one a second for each step, unless
     /// runs are stopped.
-    Weighed(shortage::Weighing),
+    Weighed(shortage::measure::Weighing),
     /// The steps of an account are put behind those of others; at most one a second.
     Shares(share::Summary),
     /// An agent's worker is suspected, for a cause.
--- a/lib/src/batch/rank.rs
+++ b/lib/src/batch/rank.rs
@@ -10,7 +10,7 @@
 use crate::batch::job::StepInstance;
 use crate::batch::run_time;
 use crate::batch::shortage;
-use crate::batch::shortage::Class;
+use crate::batch::shortage::class::Class;
 use crate::batch::table::Job;
 use crate::batch::table::Tables;
 use crate::clock::Millis;
@@ -168,6 +168,6 @@
             });
         }
     }
-    shortage::sort(tables, &mut candidates, now);
+    shortage::order::sort(tables, &mut candidates, now);
     candidates
 }
--- a/lib/src/batch/reservation.rs
+++ b/lib/src/batch/reservation.rs
@@ -20,7 +20,7 @@
 use crate::batch::rank::Candidate;
 use crate::batch::run_time;
 use crate::batch::shortage;
-use crate::batch::shortage::Verdict;
+use crate::batch::shortage::measure::Verdict;
 use crate::batch::speed;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
@@ -190,8 +190,10 @@
 ) -> bool {
     let count = if step.gang { step.tasks } else { candidate.waiting.len() as u32 };
     let slack = slack(tables, now, candidate);
-    let measure =
-        tables.policy.shortage.then(|| shortage::Measure::of(tables, now, candidate, step, count));
+    let measure = tables
+        .policy
+        .shortage
+        .then(|| shortage::measure::Measure::of(tables, now, candidate, step, count));
     if candidate.guaranteed {
         // Guaranteed work takes capacity that is only reserved for other steps, without preemption.
         let released: Vec<StepInstance> = tables
@@ -253,7 +255,7 @@
             let wait_ms = by_itself.as_ref().map(|(wait_ms, _)| *wait_ms);
             let weighing = measure.weigh(plan.cost, wait_ms);
             let verdict = weighing.verdict;
-            shortage::record(tables, now, weighing, events);
+            shortage::measure::record(tables, now, weighing, events);
             match (verdict, by_itself) {
                 (Verdict::Preempt, _) => {}
                 (Verdict::Wait, Some((_, placements))) => {
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -662,7 +662,7 @@
         self.changed_workers.insert(worker);
         quarantine::note_inserted(self, key);
         if self.policy.shortage {
-            shortage::note_inserted(self, key);
+            shortage::supply::note_inserted(self, key);
         }
         if self.policy.account_shares {
             share::note_inserted(self, key);
@@ -674,7 +674,7 @@
     pub fn remove_run(&mut self, key: key::Run) -> Option<Run> {
         let run = self.runs.remove(key)?;
         self.unsent.remove(&key);
-        shortage::note_removed(&mut self.shortage, key);
+        shortage::supply::note_removed(&mut self.shortage.ledger, key);
         share::note_removed(&mut self.shares, key);
         if let Some(task_state) = self.task_state_mut(run.task)
             && task_state.live == Some(key)
--- a/lib/tests/batch_shortage.rs
+++ b/lib/tests/batch_shortage.rs
@@ -12,8 +12,8 @@
 use lavendergauge_lib::batch::rank;
 use lavendergauge_lib::batch::rank::Candidate;
 use lavendergauge_lib::batch::shortage;
-use lavendergauge_lib::batch::shortage::Class;
-use lavendergauge_lib::batch::shortage::Measure;
+use lavendergauge_lib::batch::shortage::class::Class;
+use lavendergauge_lib::batch::shortage::measure::Measure;
 use lavendergauge_lib::batch::table::Run;
 use lavendergauge_lib::clock::Millis;
 use proptest::collection::vec;
@@ -279,7 +279,7 @@
         for index in (1..mixed.len()).rev() {
             mixed.swap(index, rng.random_range(0..=index));
         }
-        shortage::sort(&sim.tables, &mut mixed, now);
+        shortage::order::sort(&sim.tables, &mut mixed, now);
         prop_assert_eq!(&sorted, &mixed);
         for pair in sorted.windows(2) {
             let rank = |index: usize| (pair[index].priority, pair[index].class);
