headroom: no scan of the workers without recent urgent arrivals

Cause: a tick with a less urgent step scanned and sorted all workers even when no urgent job had arrived; a caller's numbers could overflow the product of tasks and accelerators.

Change: the scan ends at once without arrivals in the observed period, and the product saturates. Decisions are the same.

--- a/lib/src/batch/headroom.rs
+++ b/lib/src/batch/headroom.rs
@@ -50,7 +50,7 @@
 impl Need {
     /// Returns the need of a job's widest step.
     pub(super) fn of(job: &Job) -> Need {
-        let size = |step: &&Step| (step.accelerators * step.tasks, step.tasks);
+        let size = |step: &&Step| (step.accelerators.saturating_mul(step.tasks), step.tasks);
         let widest = job.steps().iter().max_by_key(size);
         widest.map_or(Need { tasks: 0, each: Resources::default() }, |step| Need {
             tasks: step.tasks,
@@ -89,6 +89,11 @@
         self.recent.push_back((at, need));
     }
 
+    /// Tells whether jobs have arrived in the observed period.
+    fn are_recent(&self, now: Millis) -> bool {
+        self.recent.iter().any(|(at, _)| now.since(*at) < WINDOW)
+    }
+
     /// Returns how many workers of a capacity the jobs of the next while are expected to need.
     pub fn expected(&self, now: Millis, worker: Resources) -> f64 {
         let workers = |need: &Need| f64::from(need.tasks) * fair::dominant(need.each, worker);
@@ -105,6 +110,9 @@
 /// Returns the workers to leave free, those with the most free capacity; none while most of the fleet
 /// is free.
 pub fn workers(tables: &Tables, now: Millis) -> Vec<key::Worker> {
+    if !tables.urgent_arrivals.are_recent(now) {
+        return Vec::new();
+    }
     let mut free: Vec<(f64, key::Worker)> = Vec::new();
     let mut expected: f64 = 0.0;
     let mut capacity = Resources::default();
