headroom: arrivals are kept by time

Cause: a new leader loads jobs by identifier. With more than 256 urgent jobs in the store, old ones that came later pushed out the newest, and no workers were left free.

Change: arrivals are inserted by time, and the oldest one leaves.

Result: arrivals_in_any_order; before, 0 workers expected where 2 are right.

--- a/lib/src/batch/headroom.rs
+++ b/lib/src/batch/headroom.rs
@@ -63,7 +63,7 @@
 #[row]
 #[derive(Default)]
 pub struct Arrivals {
-    /// When each job arrived, and what it needs.
+    /// When each job arrived, and what it needs, by time.
     recent: VecDeque<(Millis, Need)>,
 }
 
@@ -83,10 +83,12 @@
     /// assert_eq!(arrivals.expected(Millis(9000), worker), 0.0);
     /// ```
     pub fn record(&mut self, at: Millis, need: Need) {
-        if self.recent.len() == MAX_ARRIVALS {
+        // After a takeover the jobs are loaded in any order, so the newest are not always the last.
+        let index = self.recent.partition_point(|(earlier, _)| *earlier <= at);
+        self.recent.insert(index, (at, need));
+        if MAX_ARRIVALS < self.recent.len() {
             self.recent.pop_front();
         }
-        self.recent.push_back((at, need));
     }
 
     /// Tells whether jobs have arrived in the observed period.
--- a/lib/tests/batch_headroom.rs
+++ b/lib/tests/batch_headroom.rs
@@ -4,7 +4,11 @@
 
 use batch_sim::Simulation;
 use batch_sim::step;
+use lavendergauge_lib::batch::headroom::Arrivals;
+use lavendergauge_lib::batch::headroom::Need;
 use lavendergauge_lib::batch::job::Step;
+use lavendergauge_lib::clock::Millis;
+use lavendergauge_lib::resource::Resources;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -81,6 +85,19 @@
     assert!(90 * gangs <= 100 * prompt, "{prompt} of {gangs} urgent gangs start without a stop");
 }
 
+#[test]
+fn arrivals_in_any_order() {
+    // A new leader loads the jobs by identifier: more old ones than are remembered come last.
+    let worker = Resources { accelerators: 8, ..Resources::default() };
+    let need = Need { tasks: 5, each: worker };
+    let mut arrivals = Arrivals::default();
+    arrivals.record(Millis(100_000), need);
+    for at in 0..1000 {
+        arrivals.record(Millis(at), need);
+    }
+    assert_eq!(arrivals.expected(Millis(100_500), worker), 2.0);
+}
+
 #[test]
 fn no_urgent_work() {
     // Nothing is left free for jobs that do not come.
