batch losses: ends for steps that end at one time

Cause: the search for the step that a task had to wait for could return the same step, so the command did not end on logs where a task is placed and done in one millisecond. A field was read and never used, and a constant of the planner was written again.

Change: the search goes to earlier steps only; the field is gone; the constant is the planner's.

--- a/cli/src/loss/cause.rs
+++ b/cli/src/loss/cause.rs
@@ -3,14 +3,12 @@
 use std::collections::BTreeMap;
 
 use lavendergauge_derive::token;
+use lavendergauge_lib::batch::rank::WORTHLESS_FACTOR;
 
 use crate::loss::history;
 use crate::loss::history::History;
 use crate::loss::history::Run;
 
-/// Multiple of its objective after which an occurrence is of no worth to its caller any more.
-const WORTHLESS_FACTOR: u64 = 3;
-
 /// How well an occurrence was served.
 #[token]
 pub enum Verdict {
@@ -39,7 +37,7 @@
     Leaving,
     /// The run was stopped for another cause.
     OtherStop,
-    /// The run that ended as done, or that has not ended, took too long by itself.
+    /// The run that ended as done took longer than the objective by itself.
     Slow,
 }
 
@@ -90,9 +88,9 @@
 /// The time of its last run counts as far as it exceeds the objective alone.
 pub fn main_cause(history: &History) -> (Cause, u64) {
     let mut times: BTreeMap<Cause, u64> = BTreeMap::new();
-    let mut before_ms = u64::MAX;
+    let mut before = (u16::MAX, u64::MAX);
     // The task that ended last, then the one of an earlier step for which that had to wait.
-    while let Some((key, runs)) = decisive(history, before_ms) {
+    while let Some((key, runs)) = decisive(history, before) {
         let earlier = history.runs.range(..(key.0, 0));
         let ready_ms = earlier
             .filter_map(|(_, runs)| history::done_ms(runs))
@@ -114,7 +112,7 @@
             *times.entry(cause).or_default() += history.objective_ms;
         }
         match ready_ms {
-            Some(ready) => before_ms = ready,
+            Some(ready) => before = (key.0, ready),
             None => break,
         }
     }
@@ -125,15 +123,16 @@
     most.unwrap_or((Cause::Wait, history.objective_ms))
 }
 
-/// Returns the task that ended last, at `before_ms` at the latest, or one that has not ended, with its
-/// runs.
-fn decisive(history: &History, before_ms: u64) -> Option<((u16, u32), &Vec<Run>)> {
+/// Returns the task that ended last with its runs, or one that has not ended. `before` bounds the
+/// number of its step, exclusively, and its end in Unix milliseconds.
+fn decisive(history: &History, before: (u16, u64)) -> Option<((u16, u32), &Vec<Run>)> {
+    let (step, end_ms) = before;
     history
         .runs
         .iter()
-        .filter(|(_, runs)| !runs.is_empty())
+        .filter(|((number, _), runs)| *number < step && !runs.is_empty())
         .map(|(key, runs)| (history::done_ms(runs).unwrap_or(u64::MAX), *key, runs))
-        .filter(|(end, ..)| *end <= before_ms)
+        .filter(|(end, ..)| *end <= end_ms)
         .max_by_key(|(end, key, _)| (*end, *key))
         .map(|(_, key, runs)| (key, runs))
 }
--- a/cli/src/loss/history.rs
+++ b/cli/src/loss/history.rs
@@ -6,7 +6,6 @@
 use lavendergauge_derive::value;
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::Task;
-use lavendergauge_lib::batch::progress::Outcome;
 
 /// One run of a task.
 #[value]
@@ -44,8 +43,6 @@
     pub work_core_ms: u64,
     /// Whether the caller cancelled its job.
     pub is_cancelled: bool,
-    /// Whether its job was given up.
-    pub has_failed: bool,
     /// Runs of each task, which is a step's number and an index, in the order of their numbers.
     pub runs: BTreeMap<(u16, u32), Vec<Run>>,
 }
@@ -105,11 +102,6 @@
                 self.of_job(line)?.for_each(|history| history.is_cancelled = true);
                 Some(())
             }
-            "job-ended" => {
-                let failed = line.field("outcome")? == format!("{:?}", Outcome::Failed);
-                self.of_job(line)?.for_each(|history| history.has_failed |= failed);
-                Some(())
-            }
             "placed" => {
                 let (placed_ms, number) = (line.time_ms, line.number("run")?);
                 let run = Run { number, placed_ms, ..Run::default() };
--- a/cli/tests/batch_losses.rs
+++ b/cli/tests/batch_losses.rs
@@ -54,6 +54,18 @@
     assert_eq!((row.cause.as_str(), row.late, row.mean_ms), ("preemption", 1, 900));
 }
 
+#[test]
+fn steps_at_one_time() {
+    // Guards against a search for earlier steps that comes back to the same step.
+    let row = only_row(&[
+        (2000, "event=placed task=TASK.0 run=1 worker=w"),
+        (2000, "event=ended task=TASK.0 run=1 outcome=done"),
+        (2000, "event=placed task=00000000000000a1.0.1.0 run=1 worker=w"),
+        (2000, "event=ended task=00000000000000a1.0.1.0 run=1 outcome=done"),
+    ]);
+    assert_eq!((row.cause.as_str(), row.late, row.mean_ms), ("wait", 1, 2000));
+}
+
 #[test]
 fn lost_worker() {
     let row = only_row(&[
