--- a/daemon/tests/request_outcome.rs
+++ b/daemon/tests/request_outcome.rs
@@ -64,7 +64,8 @@
     let answer = env.send(1, request()).await;
     assert_eq!(answer.body().as_ref(), b"/check sweep");
     assert_eq!(env.executions("late"), 1);
-    assert_eq!(query_outcome(&env, 0, "late", "").await["outcome"], "ran");
+    let report = query_outcome(&env, 0, "late", "").await;
+    assert_eq!(report["outcome"], "ran", "{report}");
     env.stop().await;
 }
 
