batch lease: no lease by the clock of a worker's earlier incarnation

Its worker had restarted under its identifier, got the task, and was then cut off.

Cause: the agent computed leases from a reading of the worker's clock until a heartbeat or an answer showed another incarnation. X-Expect-Instance names the identifier, which both incarnations share, so the poll that discovers the restart has extended the lease already, by a clock that is far ahead: the worker grants its longest lease (10 s), and nothing shortens it. The planner replaces the runs of a silent worker after 4.16 s, the longest that a grant lasts.

Change: a call without an answer discards the reading; the next poll reads the clock and extends nothing. lease::Tracker keeps every call that extends the lease until the incarnation whose clock was read has answered it or a later one. When a new incarnation is known, the agent reports until when such a call may have extended its lease, and the planner replaces no run on that worker before. Answers to starts show a restart too. An agent that starts reports a full lease, as it does not know the calls of its earlier process. A reading is extrapolated by the steady clock, less 2 %, since the worker's clock stands still while the VM is suspended and may be slow.

--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -15,7 +15,10 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use lavendergauge_derive::token;
 use lavendergauge_lib::batch::crash::Ledger;
+use lavendergauge_lib::batch::lease::Call;
+use lavendergauge_lib::batch::lease::Tracker;
 use lavendergauge_lib::batch::order::Answer;
 use lavendergauge_lib::batch::report::Report;
 use lavendergauge_net::body::Body;
@@ -63,6 +66,15 @@
 /// Longest wait for calls in progress at a stop; tasks keep running under their lease.
 const STOP_WAIT: Duration = Duration::from_millis(500);
 
+/// The lease that a call to the worker carries.
+#[token]
+pub struct Lease {
+    /// Time of the worker's clock until which its tasks may run, in milliseconds.
+    pub until_ms: u64,
+    /// The call.
+    pub call: Call,
+}
+
 /// An agent, shared by its listeners and loops.
 pub struct Agent {
     /// Name of the agent.
@@ -95,17 +107,23 @@
         self.version.send_modify(|version| *version += 1);
     }
 
-    /// Returns the time of the worker's clock until which its tasks may run, in milliseconds.
+    /// Returns the lease that a call to the worker may carry, which ends within `limit`.
     ///
-    /// `None` while the worker's clock is not known or the grant has expired.
-    pub fn lease_until(&self) -> Option<u64> {
-        let state = self.state();
-        let (worker_clock, read_at) = state.worker_clock?;
+    /// `None` while the worker's clock is not known or the grant has expired. The caller has to
+    /// record the end of the call in [`State::leases`].
+    pub fn begin_lease(&self, limit: Duration) -> Option<Lease> {
+        let mut state = self.state();
+        let reading = state.worker_clock?;
+        let id = state.worker.as_ref()?.id.clone();
         let now = clock::boot().0;
-        // The worker's clock shows at least its last reading plus the time elapsed here since.
-        let remaining = state.grant_until.checked_sub(now + LEASE_MARGIN_MS)?;
+        let remaining = state.grant_until.checked_sub(now.saturating_add(LEASE_MARGIN_MS))?;
         let longest = self.settings.lease_max.as_millis() as u64;
-        Some(worker_clock + (now - read_at) + remaining.min(longest))
+        let worker_clock = reading.least_clock_ms(clock::now().0);
+        state.leases_of = id;
+        Some(Lease {
+            until_ms: worker_clock.saturating_add(remaining.min(longest)),
+            call: state.leases.begin(now, limit.as_millis() as u64),
+        })
     }
 
     /// Checks a caller's fencing token and applies its token and grant.
@@ -155,6 +173,7 @@
             is_stopping: state.is_stopping,
             worker: state.worker.clone(),
             list: state.list.clone(),
+            stray_lease_until: state.leases.stray_until(),
             crashes: state.crashes.iter().cloned().collect(),
         }
     }
@@ -213,6 +232,8 @@
             heartbeat_sequence: 0,
             ended_incarnation: 0,
             worker_clock: None,
+            leases: Tracker::new(clock::boot().0, role.lease_max.as_millis() as u64),
+            leases_of: String::new(),
             list: None,
             forgettable_ends: (0, 0),
             is_worker_responsive: true,
--- a/daemon/src/batch/agent_heartbeat.rs
+++ b/daemon/src/batch/agent_heartbeat.rs
@@ -92,9 +92,8 @@
             announcement.ready
         );
         state.record_end();
+        state.note_restart(&announcement.id);
         state.heartbeat_sequence = heartbeat.sequence;
-        state.worker_clock = None;
-        state.list = None;
         state.is_worker_responsive = true;
         agent.wake.notify_one();
     }
--- a/daemon/src/batch/agent_order.rs
+++ b/daemon/src/batch/agent_order.rs
@@ -1,11 +1,13 @@
 //! Executes the planner's orders at the worker.
 
+use lavendergauge_lib::batch::lease::Call;
 use lavendergauge_lib::batch::order::Answer;
 use lavendergauge_lib::batch::order::Order;
 use lavendergauge_lib::batch::order::Verb;
 use lavendergauge_lib::batch::report::Announcement;
 use lavendergauge_lib::resource::Resources;
 use lavendergauge_platform::Error;
+use lavendergauge_platform::worker;
 use lavendergauge_platform::worker::Reply;
 use lavendergauge_platform::worker::Start;
 
@@ -97,16 +99,18 @@
     if expires < clock::boot().0 {
         return Answer::Refused("order-expired".to_owned());
     }
-    let Some(lease_until) = agent.lease_until() else {
+    let Some(lease) = agent.begin_lease(worker::DEADLINE) else {
         return Answer::Refused("no-grant".to_owned());
     };
-    let start = Start { lease_until_ms: lease_until, ..start };
+    let start = Start { lease_until_ms: lease.until_ms, ..start };
     agent.state().ledger.begin_start(order.task, order.run, clock::boot().0);
-    let answer = match agent.client.start(&id, fence, &start).await {
+    let answer = agent.client.start(&id, fence, &start).await;
+    record_lease(agent, order.incarnation, lease.call, &answer);
+    let answer = match answer.map(|answer| answer.reply) {
         Ok(Reply::Done) => Answer::Done(clock::boot().0),
         Ok(Reply::Refused(reason)) => Answer::Refused(reason),
         Ok(Reply::Gone) => Answer::Gone,
-        Err(Error::NotDone(reason)) => Answer::Refused(reason),
+        Err(error) if error.has_no_effect() => Answer::Refused(error.to_string()),
         Err(error) => {
             log::warn!("event=worker-silent worker={id} cause={}", Value(&error.to_string()));
             Answer::Unknown
@@ -121,6 +125,31 @@
     answer
 }
 
+/// Records the end of a start call, which extends the worker's lease even when the run is refused.
+///
+/// An answer of another incarnation than the order is meant for shows that the worker has restarted.
+fn record_lease(
+    agent: &Agent,
+    incarnation: u64,
+    call: Call,
+    answer: &Result<worker::Answer, Error>,
+) {
+    let mut state = agent.state();
+    match answer {
+        Ok(answer) if answer.reply == Reply::Gone => state.leases.cancel(call),
+        Ok(answer) if answer.incarnation == incarnation => state.leases.confirm(call),
+        Ok(answer) => {
+            state.leases.end_unanswered(call, clock::boot().0);
+            if answer.incarnation != 0 && state.forget_worker(incarnation, answer.incarnation) {
+                drop(state);
+                agent.notify_planner();
+            }
+        }
+        Err(error) if error.has_no_effect() => state.leases.cancel(call),
+        Err(_) => state.leases.end_unanswered(call, clock::boot().0),
+    }
+}
+
 async fn stop_run(agent: &Agent, fence: u64, order: &Order) -> Answer {
     let (id, _) = match find_worker(agent, order) {
         Ok(found) => found,
@@ -138,8 +167,8 @@
 }
 
 /// Converts a worker's reply to an idempotent order into an answer.
-fn answer_from_reply(id: &str, reply: Result<Reply, Error>) -> Answer {
-    match reply {
+fn answer_from_reply(id: &str, reply: Result<worker::Answer, Error>) -> Answer {
+    match reply.map(|answer| answer.reply) {
         Ok(Reply::Done) => Answer::Done(clock::boot().0),
         Ok(Reply::Refused(reason)) => Answer::Refused(reason),
         Ok(Reply::Gone) => Answer::Gone,
--- a/daemon/src/batch/agent_state.rs
+++ b/daemon/src/batch/agent_state.rs
@@ -4,6 +4,8 @@
 
 use lavendergauge_lib::batch::crash::Crash;
 use lavendergauge_lib::batch::crash::Ledger;
+use lavendergauge_lib::batch::lease::Reading;
+use lavendergauge_lib::batch::lease::Tracker;
 use lavendergauge_lib::batch::report::Announcement;
 use lavendergauge_lib::batch::report::List;
 
@@ -28,8 +30,12 @@
     pub heartbeat_sequence: u64,
     /// Newest incarnation of the worker that has ended.
     pub ended_incarnation: u64,
-    /// The worker's clock and the agent's clock at the moment it was read, in milliseconds.
-    pub worker_clock: Option<(u64, u64)>,
+    /// The newest reading of the worker's clock; `None` when another incarnation may run by now.
+    pub worker_clock: Option<Reading>,
+    /// The calls that extend the worker's lease.
+    pub leases: Tracker,
+    /// Identifier of the worker that they were sent to.
+    pub leases_of: String,
     /// The worker's last list of running and ended runs.
     pub list: Option<List>,
     /// Incarnation of the worker, and number of the newest ended run that it may forget.
@@ -52,6 +58,30 @@
         self.crashes.retain(|crash| now < crash.noticed_at + CRASH_MEMORY_MS);
     }
 
+    /// Notes that the worker has restarted: its next incarnation may hold a lease by the clock of
+    /// the present one.
+    pub fn note_restart(&mut self, id: &str) {
+        if self.leases_of == id {
+            self.leases.restart();
+        }
+        self.worker_clock = None;
+        self.list = None;
+    }
+
+    /// Forgets the worker when the incarnation `found` answers in place of the one that is `known`;
+    /// tells whether it did. The next heartbeat announces the new incarnation.
+    pub fn forget_worker(&mut self, known: u64, found: u64) -> bool {
+        let worker = self.worker.as_ref().filter(|worker| worker.incarnation == known);
+        let Some(id) = worker.filter(|_| known != found).map(|worker| worker.id.clone()) else {
+            return false;
+        };
+        log::info!("event=worker-restarted worker={id} incarnation={found} known={known}");
+        self.record_end();
+        self.note_restart(&id);
+        self.worker = None;
+        true
+    }
+
     /// Records that the worker's present incarnation has ended without a leave message.
     ///
     /// A worker that had announced to leave has not crashed: it also ends when its message is lost.
--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -3,7 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lavendergauge_lib::batch::lease::Call;
+use lavendergauge_lib::batch::lease::Reading;
 use lavendergauge_lib::batch::report::List;
+use lavendergauge_platform::Error;
+use lavendergauge_platform::worker;
 use lavendergauge_platform::worker::Snapshot;
 use tokio::time;
 
@@ -42,6 +46,7 @@
     let wait = match list {
         // The first poll must return at once: it reads the worker's clock.
         None => Duration::ZERO,
+        Some(_) if state.worker_clock.is_none() => Duration::ZERO,
         Some(list) if list.fence != state.fence => Duration::ZERO,
         // The planner waits for the result of its orders.
         Some(_) if has_new_orders => Duration::ZERO,
@@ -68,13 +73,18 @@
             continue;
         };
         let sent_at = clock::boot().0;
-        let lease_until = agent.lease_until();
+        let lease = agent.begin_lease(poll.wait + worker::DEADLINE);
+        let lease_until = lease.map(|lease| lease.until_ms);
         let call = agent.client.poll(&poll.id, poll.fence, poll.forget, lease_until, poll.wait);
         // A new planner or acknowledgement interrupts the long poll, which is then repeated.
         let answer = tokio::select! {
-            answer = call => answer,
-            () = agent.wake.notified(), if !poll.wait.is_zero() => continue,
+            answer = call => Some(answer),
+            () = agent.wake.notified(), if !poll.wait.is_zero() => None,
         };
+        if let Some(lease) = lease {
+            record_lease(&agent, &poll, lease.call, answer.as_ref());
+        }
+        let Some(answer) = answer else { continue };
         match answer {
             Ok(Some(snapshot)) => {
                 if std::mem::take(&mut is_lost) {
@@ -91,7 +101,14 @@
                 time::sleep(PAUSE_FAILED).await;
             }
             Err(error) => {
-                agent.state().has_new_orders |= poll.has_new_orders;
+                {
+                    let mut state = agent.state();
+                    state.has_new_orders |= poll.has_new_orders;
+                    if !matches!(error, Error::NotDone(_)) {
+                        // Another incarnation may answer next: its clock has to be read first.
+                        state.worker_clock = None;
+                    }
+                }
                 if !is_lost {
                     is_lost = true;
                     let cause = error.to_string();
@@ -104,6 +121,25 @@
     }
 }
 
+/// Records the end of a poll that extended the worker's lease; without an answer when it was
+/// interrupted.
+fn record_lease(
+    agent: &Agent,
+    poll: &WorkerPoll,
+    call: Call,
+    answer: Option<&Result<Option<Snapshot>, Error>>,
+) {
+    let leases = &mut agent.state().leases;
+    match answer {
+        Some(Ok(Some(snapshot))) if snapshot.incarnation == poll.incarnation => {
+            leases.confirm(call);
+        }
+        Some(Ok(None)) => leases.cancel(call),
+        Some(Err(error)) if error.has_no_effect() => leases.cancel(call),
+        _ => leases.end_unanswered(call, clock::boot().0),
+    }
+}
+
 /// Sets whether the worker answers; the planner assigns no new work to a worker that does not.
 fn set_worker_responsive(agent: &Agent, is_responsive: bool) {
     agent.state().is_worker_responsive = is_responsive;
@@ -118,20 +154,12 @@
         return;
     }
     if snapshot.incarnation != 0 && snapshot.incarnation != poll.incarnation {
-        log::info!(
-            "event=worker-restarted incarnation={} known={}",
-            snapshot.incarnation,
-            poll.incarnation
-        );
-        state.record_end();
-        state.worker = None;
-        state.list = None;
-        state.worker_clock = None;
+        state.forget_worker(poll.incarnation, snapshot.incarnation);
         drop(state);
         agent.notify_planner();
         return;
     }
-    state.worker_clock = Some((snapshot.clock_ms, clock::boot().0));
+    state.worker_clock = Some(Reading { clock_ms: snapshot.clock_ms, read_at: clock::now().0 });
     state.ledger.apply_list(&snapshot.running, sent_at);
     let list = List {
         incarnation: poll.incarnation,
--- a/daemon/src/batch/in_doubt.rs
+++ b/daemon/src/batch/in_doubt.rs
@@ -35,7 +35,7 @@
     pub async fn record_failure(&mut self, id: Id, error: Error) -> Result<(), Refusal> {
         if self.first_failure.is_none() {
             log::info!("event=record-write-failed job={id} cause={}", Value(&error.to_string()));
-            if matches!(error, Error::NotDone(_)) {
+            if error.has_no_effect() {
                 return Err(Refusal::NotStored);
             }
         }
--- a/daemon/src/batch/record_writer.rs
+++ b/daemon/src/batch/record_writer.rs
@@ -5,7 +5,6 @@
 
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::records;
-use lavendergauge_platform::Error;
 use lavendergauge_platform::store::CommitOutcome;
 use lavendergauge_platform::store::MAX_TRANSACTION_ENTRIES;
 use lavendergauge_platform::store::Put;
@@ -150,7 +149,7 @@
             Ok(CommitOutcome::NoLease) => return Err("lease has ended"),
             Err(error) => {
                 if !std::mem::replace(&mut has_failed, true) {
-                    let has_no_effect = matches!(error, Error::NotDone(_));
+                    let has_no_effect = error.has_no_effect();
                     let cause = error.to_string();
                     log::warn!(
                         "event=record-not-written mark={mark} in_doubt={} cause={}",
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -20,6 +20,7 @@
 pub mod health;
 pub mod job;
 pub mod learned;
+pub mod lease;
 pub mod observe;
 pub mod occupancy;
 pub mod order;
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -53,6 +53,12 @@
         worker.grant_until = 0;
         restart_clock(tables, key);
     }
+    let stray_lease = report.stray_lease_until.saturating_sub(report.clock);
+    let stray_lease_until = now + Duration::from_millis(stray_lease);
+    let worker = &mut tables.workers[key];
+    if stray_lease != 0 {
+        worker.lease_until = worker.lease_until.max(stray_lease_until);
+    }
     let worker = &tables.workers[key];
     let Some(list) = &report.list else { return changes };
     if list.fence != fence || list.incarnation != worker.incarnation {
@@ -68,6 +74,7 @@
     // Until the first list, their own bound is not known.
     worker.lease_until =
         if worker.last_answer.is_none() { bound } else { worker.lease_until.max(bound) };
+    worker.lease_until = worker.lease_until.max(stray_lease_until);
     worker.last_answer = Some(requested_at);
     worker.grant_until = list.sent_at + table::GRANT.as_millis() as u64;
     apply_ends(tables, now, key, list, &mut changes);
--- a/lib/src/batch/report.rs
+++ b/lib/src/batch/report.rs
@@ -142,6 +142,10 @@
     pub worker: Option<Announcement>,
     /// The worker's newest list; `None` before the first.
     pub list: Option<List>,
+    /// Time of the agent's clock until which the worker may hold a lease by the clock of an earlier
+    /// incarnation, in milliseconds; 0 from an agent that does not tell.
+    #[serde(default)]
+    pub stray_lease_until: u64,
     /// The newest crashes of the worker that the agent noticed, the oldest first.
     #[serde(default)]
     pub crashes: Vec<Crash>,
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -49,7 +49,7 @@
 /// Share of full speed at which a run works unless it is ordered otherwise, in percent.
 const FULL_PACE: u32 = 100;
 /// Twice the share by which a worker's clock may be slow, in percent.
-const CLOCK_SLACK_PERCENT: u32 = 4;
+pub(super) const CLOCK_SLACK_PERCENT: u32 = 4;
 
 /// Returns the time after which no task can still run under a grant given now.
 ///
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -83,6 +83,8 @@
     pub fence: u64,
     /// Time until which its runs may continue.
     pub lease_until: u64,
+    /// Time until which its agent reports that it may hold a lease of an earlier incarnation.
+    pub stray_lease_until: u64,
     /// Whether the planner reaches its agent.
     pub reachable: bool,
     /// Whether it takes new work.
@@ -225,6 +227,7 @@
                 last_end: 0,
                 fence: 0,
                 lease_until: 0,
+                stray_lease_until: 0,
                 reachable: true,
                 ready: true,
                 is_stuck: false,
@@ -541,6 +544,7 @@
                 running: worker.runs.iter().map(row).collect(),
                 ends: worker.ends.clone(),
             }),
+            stray_lease_until: worker.stray_lease_until,
             crashes: worker.crashes.clone(),
         }
     }
