batch records: a record that the store refuses stops no other

Cause: a job's progress is one value of the store with named fields, 53 bytes for a task that has not run and 1,123,419 for this job; the store takes 1,048,576 and answers 413. The writer of records took every status but 200, 404 and 412 for doubt and repeated the transaction for ever. All records go through that loop, and no run starts before it is recorded. A recurring job that is behind held all its overdue occurrences in the value, too.

Change: Error::Refused tells a refusal for good from doubt. A recurring job has 20,000 tasks at most in occurrences that have begun, and those that have ended are dropped although an earlier one still runs. A job that can never be stored is refused at once with 413 instead of 504. The due time of an occurrence no longer overflows, and a job with more steps than their numbers allow is refused.

--- a/daemon/src/batch.rs
+++ b/daemon/src/batch.rs
@@ -24,6 +24,7 @@
 pub mod message;
 pub mod peer;
 pub mod planner;
+pub mod record_codec;
 pub mod record_writer;
 pub mod refusal;
 pub mod roster;
--- a/daemon/src/batch/in_doubt.rs
+++ b/daemon/src/batch/in_doubt.rs
@@ -31,12 +31,15 @@
     /// The same conditional write may be repeated: at most one of its attempts takes effect.
     ///
     /// # Errors
-    /// [`Refusal::NotStored`] when the first attempt certainly wrote nothing.
+    /// [`Refusal::NotStored`] when the first attempt certainly wrote nothing, [`Refusal::Unstorable`]
+    /// when no attempt ever will.
     pub async fn record_failure(&mut self, id: Id, error: Error) -> Result<(), Refusal> {
         if self.first_failure.is_none() {
             log::info!("event=record-write-failed job={id} cause={}", Value(&error.to_string()));
-            if error.has_no_effect() {
-                return Err(Refusal::NotStored);
+            match error {
+                Error::Refused(_) => return Err(Refusal::Unstorable),
+                error if error.has_no_effect() => return Err(Refusal::NotStored),
+                _ => {}
             }
         }
         self.first_failure.get_or_insert(clock::boot());
--- a/daemon/src/batch/ingress.rs
+++ b/daemon/src/batch/ingress.rs
@@ -48,6 +48,7 @@
 use crate::batch::message::RecordNotice;
 use crate::batch::message::Reply;
 use crate::batch::planner;
+use crate::batch::record_codec;
 use crate::batch::refusal;
 use crate::batch::refusal::Refusal;
 use crate::clock;
@@ -237,6 +238,12 @@
                 log::info!("event=job-malformed job={id} cause={}", Value(&cause));
                 Refusal::Malformed
             })?;
+            if !record_codec::fits(&submission, entry.settings.store_value_bytes) {
+                log::info!(
+                    "event=job-unstorable job={id} cause=\"its progress would be too long\""
+                );
+                return Err(Refusal::Unstorable);
+            }
             accept(entry, call, admitted, id, submission).await
         }
         (&Method::GET, Some(id)) => read_state(entry, call, &admitted, id).await,
@@ -472,7 +479,8 @@
     config: u64,
     record: &Record,
 ) -> Result<CommitOutcome, Error> {
-    let value = codec::pack(record).map_err(|cause| Error::NotDone(cause.to_string()))?;
+    let value = record_codec::encode_record(record, entry.settings.store_value_bytes)
+        .map_err(|cause| Error::Refused(cause.to_string()))?;
     let transaction = Transaction {
         conditions: vec![(keys::job(id), revision), (operator::CONFIG_KEY.to_owned(), config)],
         puts: vec![Put { key: keys::job(id), value, lease: 0 }],
--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -50,6 +50,7 @@
 use crate::batch::message::Orders;
 use crate::batch::message::Query;
 use crate::batch::message::Reply;
+use crate::batch::record_codec;
 use crate::batch::record_writer;
 use crate::clock;
 use crate::logs::Value;
@@ -211,7 +212,7 @@
         }
     }
     for item in &progress {
-        if let Some((id, progress)) = decode::<Progress>(keys::PROGRESS, item) {
+        if let Some((id, progress)) = decode_progress(item) {
             records::load_progress(&mut tables, now, wall_ms, id, &progress);
         }
     }
@@ -244,6 +245,19 @@
     }
 }
 
+/// Decodes a job's progress; one that cannot be decoded is logged and skipped.
+fn decode_progress(item: &Item) -> Option<(Id, Progress)> {
+    let id = keys::id(keys::PROGRESS, &item.key)?;
+    match record_codec::decode_progress(&item.value) {
+        Ok(progress) => Some((id, progress)),
+        Err(cause) => {
+            let cause = cause.to_string();
+            log::error!("event=record-unreadable key={} cause={}", item.key, Value(&cause));
+            None
+        }
+    }
+}
+
 /// Runs a tick when something has changed, and at least every [`TICK_INTERVAL`].
 ///
 /// The first change after a quiet time causes a tick at once; the changes during a tick and the
@@ -377,7 +391,7 @@
     let Some(item) = entry.store.read(&keys::job(id), deadline).await? else { return Ok(None) };
     let Some((_, record)) = decode::<Record>(keys::JOBS, &item) else { return Ok(None) };
     let progress = entry.store.read(&keys::progress(id), deadline).await?;
-    let progress = progress.and_then(|item| decode::<Progress>(keys::PROGRESS, &item));
+    let progress = progress.and_then(|item| decode_progress(&item));
     let mut tables = Tables::new(entry.settings.bounds, clock::boot());
     let (now, wall_ms) = (clock::boot(), clock::wall_ms());
     records::load_record(&mut tables, now, wall_ms, id, record.clone());
--- a/daemon/src/batch/refusal.rs
+++ b/daemon/src/batch/refusal.rs
@@ -37,6 +37,8 @@
     NoJob,
     /// The store refused the write, and nothing was written.
     NotStored,
+    /// The store never takes the job's record, or the job's progress would be too long for it.
+    Unstorable,
     /// The store gave no usable answer, so it is not known whether the write took effect.
     InDoubt,
     /// Neither the planner nor the store answered.
@@ -64,7 +66,7 @@
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::Foreign => StatusCode::FORBIDDEN,
             Refusal::Malformed => StatusCode::BAD_REQUEST,
-            Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::TooLong | Refusal::Unstorable => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Method => StatusCode::METHOD_NOT_ALLOWED,
             Refusal::NoJob => StatusCode::GONE,
             Refusal::InDoubt => StatusCode::GATEWAY_TIMEOUT,
@@ -89,6 +91,7 @@
             Refusal::Method => "method not allowed",
             Refusal::NoJob => "no such job",
             Refusal::NotStored => "not accepted: the store refused",
+            Refusal::Unstorable => "not accepted: the job cannot be stored",
             Refusal::InDoubt => "in doubt: repeat the call with the same job",
             Refusal::Unanswered => "the job's state cannot be read now",
             Refusal::Overloaded { .. } => "not accepted: the job could not start in time",
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -91,6 +91,8 @@
     pub advertised_address: String,
     /// Address of the platform's store.
     pub store_address: String,
+    /// Longest value that the platform's store takes, in bytes.
+    pub store_value_bytes: usize,
     /// Address of the platform's VM service; empty for none.
     pub machines_address: String,
     /// Limits that the planner works with.
@@ -344,6 +346,7 @@
         peer_address: text_of(file, "batch", "peer_address"),
         advertised_address: advertised(file),
         store_address: text_of(file, "batch", "store_address"),
+        store_value_bytes: scaled(file, "store_value_bytes", 1.0) as usize,
         machines_address: text_of(file, "batch", "machines_address"),
         bounds: Bounds {
             stop_grace_ms: scaled(file, "stop_grace_ms", 1.0),
--- a/lib/src/batch/records.rs
+++ b/lib/src/batch/records.rs
@@ -20,6 +20,10 @@
 use crate::clock::Millis;
 use crate::key;
 
+/// Most tasks of the occurrences of one job that have begun and have not ended. Further occurrences
+/// begin as earlier ones end, so that the job's progress remains short enough to be stored.
+pub const MAX_OPEN_TASKS: u32 = 20_000;
+
 /// Applies a job's record as an entry wrote it; of a known job only the caller's intent changes.
 ///
 /// The record of a refused job is no job, see [`note_refused`]. `wall_ms` is the time of day at `now`,
@@ -120,8 +124,9 @@
     if repeat.count == 0 {
         return job.accepted;
     }
-    let due_ms = repeat.first_ms + u64::from(occurrence) * repeat.interval_ms;
-    Millis((now.0 + due_ms).saturating_sub(wall_ms))
+    let elapsed_ms = u64::from(occurrence).saturating_mul(repeat.interval_ms);
+    let due_ms = repeat.first_ms.saturating_add(elapsed_ms);
+    Millis(now.0.saturating_add(due_ms).saturating_sub(wall_ms))
 }
 
 /// Returns the progress to record for a job, with the version of the job that it represents.
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -66,7 +66,13 @@
     for id in ids {
         let Some(job) = tables.jobs.get_mut(&id) else { continue };
         let repeat = job.record.submission.repeat;
+        let tasks: usize = job.steps().iter().map(|step| step.tasks as usize).sum();
+        let mut open: usize =
+            job.occurrences.values().flat_map(|row| &row.steps).map(Vec::len).sum();
         while job.is_active() && job.is_recurring() {
+            if open != 0 && (records::MAX_OPEN_TASKS as usize) < open + tasks {
+                break;
+            }
             let due = records::due(job, now, wall_ms, job.next);
             if now < due && repeat.count != 0 {
                 break;
@@ -77,6 +83,7 @@
                 .map(|step| (0..step.tasks).map(|_| TaskState::default()).collect())
                 .collect();
             job.occurrences.insert(job.next, Occurrence { steps, due });
+            open += tasks;
             events.push(Event::Begun(beginning(id, job, job.next, now.since(due))));
             job.next += 1;
             tables.unsettled.insert(id);
@@ -144,16 +151,21 @@
         (_, true) => Some(Outcome::Completed),
         _ => None,
     };
-    if outcome.is_none() && from == job.from {
+    // The newest occurrence shows which ones have begun.
+    let newest = job.next.saturating_sub(1);
+    let is_over = |number: u32, row: &Occurrence| {
+        let mut task_states = row.steps.iter().flatten();
+        (number < from || number < newest && has_ended(row))
+            && task_states.all(|task_state| task_state.live.is_none())
+    };
+    let has_over = job.occurrences.iter().any(|(number, row)| is_over(*number, row));
+    if outcome.is_none() && from == job.from && !has_over {
         return;
     }
     let Some(job) = tables.jobs.get_mut(&id) else { return };
     job.from = from;
     if outcome.is_none() {
-        job.occurrences.retain(|number, row| {
-            from <= *number
-                || row.steps.iter().flatten().any(|task_state| task_state.live.is_some())
-        });
+        job.occurrences.retain(|number, row| !is_over(*number, row));
     }
     if let Some(outcome) = outcome {
         job.outcome = Some(outcome);
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -333,7 +333,7 @@
     }
 
     /// Returns the time of day, in Unix milliseconds.
-    fn wall(&self) -> u64 {
+    pub fn wall(&self) -> u64 {
         WALL_MS + self.now
     }
 
--- a/wire/src/codec.rs
+++ b/wire/src/codec.rs
@@ -43,6 +43,21 @@
     Ok(Bytes::from(rmp_serde::to_vec_named(value)?))
 }
 
+/// Encodes a value as MessagePack without the names of fields, for values whose length is limited;
+/// [`unpack`] reads both forms.
+///
+/// # Errors
+/// [`Error::Pack`] when the value cannot be represented in MessagePack.
+///
+/// ```
+/// use lavendergauge_wire::codec;
+/// let bytes = codec::pack_unnamed(&vec![1_u32, 2]).unwrap();
+/// assert_eq!(codec::unpack::<Vec<u32>>(&bytes).unwrap(), [1, 2]);
+/// ```
+pub fn pack_unnamed<T: Serialize>(value: &T) -> Result<Bytes, Error> {
+    Ok(Bytes::from(rmp_serde::to_vec(value)?))
+}
+
 /// Decodes a value from MessagePack.
 ///
 /// # Errors
