batch lists: one item that cannot be read costs no other

Other operators reported that one odd entry (deeply nested, a number too large, a port out of range) ended the machines that read a list, or kept them from following it.

Cause: lists were decoded as one value, so an item that does not fit failed a whole page or watch of the store, a worker's lists, the list of VMs, or the configuration. Where items were left out, the reader took them for absent: a run whose task could not be read was started again, and a job whose progress could not be read was started anew by the next planner. Amounts were converted by saturation, so a capacity of 1e300 was room.

Change: items are decoded one by one. A worker's list with an unreadable item is partial: a run that it omits ends only by a confirmed stop, and ends are acknowledged up to that item. It travels in a field of its own, so that an earlier planner sees no list. A job whose record or progress cannot be read, or is not of the job, is held: what it runs goes on, nothing is started, its ends stay at the workers, and queries get 503 instead of 410 or a state. A VM without a readable name keeps a wave from being completed. Runs and ends with numbers that were never ordered change nothing. Heartbeats with impossible amounts, starts or sequence numbers are refused, and the planner takes such a capacity for none. Addresses of agents are checked, and a key that begins like the leader's is not the leader.

Ruled out: leaving odd items out (the cause of the second start), refusing the list (the cause of the lapsed runs).

--- a/daemon/src/batch/agent_heartbeat.rs
+++ b/daemon/src/batch/agent_heartbeat.rs
@@ -14,6 +14,7 @@
 
 use crate::batch::agent::Agent;
 use crate::batch::peer;
+use crate::clock;
 
 /// Maximum size of a heartbeat's body, in bytes.
 const HEARTBEAT_LIMIT: usize = 64 << 10;
@@ -27,7 +28,7 @@
     let Ok(bytes) = body::receive(request.into_body(), HEARTBEAT_LIMIT).await else {
         return peer::status(StatusCode::BAD_REQUEST);
     };
-    match heartbeat::parse(&path, &bytes) {
+    match heartbeat::parse(&path, &bytes, clock::wall_ms()) {
         Some(Message::Heartbeat(heartbeat)) => {
             apply_heartbeat(&agent, heartbeat);
             peer::status(StatusCode::OK)
@@ -113,7 +114,7 @@
     state.ended_incarnation = state.ended_incarnation.max(known_incarnation);
     state.ledger.clear();
     state.worker = None;
-    state.list = None;
+    state.forget_list();
     state.worker_clock = None;
     drop(state);
     agent.notify_planner();
--- a/daemon/src/batch/agent_state.rs
+++ b/daemon/src/batch/agent_state.rs
@@ -38,6 +38,12 @@
     pub leases_of: String,
     /// The worker's last list of running and ended runs.
     pub list: Option<List>,
+    /// Whether that list may omit runs or ends.
+    pub is_list_partial: bool,
+    /// Number of items of that list that could not be decoded.
+    pub unreadable_items: usize,
+    /// Number of the newest end that the worker may drop as far as the agent has read its list.
+    pub last_readable_end: Option<u64>,
     /// Incarnation of the worker, and number of the newest ended run that it may forget.
     pub forgettable_ends: (u64, u64),
     /// Whether the worker answered the agent's last call.
@@ -65,7 +71,15 @@
             self.leases.restart();
         }
         self.worker_clock = None;
+        self.forget_list();
+    }
+
+    /// Forgets the worker's list.
+    pub fn forget_list(&mut self) {
         self.list = None;
+        self.is_list_partial = false;
+        self.unreadable_items = 0;
+        self.last_readable_end = None;
     }
 
     /// Forgets the worker when the incarnation `found` answers in place of the one that is `known`;
--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -42,6 +42,7 @@
     let has_new_orders = std::mem::take(&mut state.has_new_orders);
     let worker = state.worker.as_ref().filter(|_| state.fence != 0)?;
     let (incarnation, number) = state.forgettable_ends;
+    let number = number.min(state.last_readable_end.unwrap_or(u64::MAX));
     let list = state.list.as_ref();
     let wait = match list {
         // The first poll must return at once: it reads the worker's clock.
@@ -169,9 +170,21 @@
         running: snapshot.running,
         ends: snapshot.ends,
     };
-    let must_report =
-        poll.has_new_orders || state.list.as_ref().is_none_or(|before| needs_report(before, &list));
+    let must_report = poll.has_new_orders
+        || state.is_list_partial != snapshot.is_partial
+        || state.list.as_ref().is_none_or(|before| needs_report(before, &list));
+    if state.unreadable_items != snapshot.unreadable {
+        log::warn!(
+            "event=list-unreadable worker={} items={} before={}",
+            poll.id,
+            snapshot.unreadable,
+            state.unreadable_items
+        );
+    }
     state.list = Some(list);
+    state.is_list_partial = snapshot.is_partial;
+    state.unreadable_items = snapshot.unreadable;
+    state.last_readable_end = snapshot.last_readable_end;
     drop(state);
     if must_report {
         agent.notify_planner();
--- a/daemon/src/batch/follow.rs
+++ b/daemon/src/batch/follow.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::http::uri::Authority;
 use lavendergauge_lib::batch::change::Change;
 use lavendergauge_lib::batch::dispatch::Dispatch;
 use lavendergauge_lib::batch::job::Record;
@@ -67,9 +68,19 @@
 }
 
 fn load_item(planner: &Planner, item: &Item) {
-    if let Some((id, record)) = planner::decode::<Record>(keys::JOBS, item) {
-        records::note_refused(&mut planner.tables(), id, &record, item.revision);
-        planner.load_record(id, record);
+    let Some(id) = keys::id(keys::JOBS, &item.key) else { return };
+    match planner::decode::<Record>(item) {
+        Some(record) => {
+            records::note_refused(&mut planner.tables(), id, &record, item.revision);
+            planner.load_record(id, record);
+        }
+        // A job that is known already goes on as it was.
+        None => {
+            let mut tables = planner.tables();
+            if !tables.jobs.contains_key(&id) {
+                records::hold(&mut tables, id);
+            }
+        }
     }
 }
 
@@ -115,7 +126,11 @@
     item: &Item,
 ) {
     let Some(node) = item.key.strip_prefix(keys::AGENTS) else { return };
-    let address = String::from_utf8_lossy(&item.value).into_owned();
+    let Some(address) = agent_address(&item.value) else {
+        let length = item.value.len();
+        log::warn!("event=agent-unreadable worker={} bytes={length}", Value(node));
+        return;
+    };
     if polls.get(node).is_some_and(|(known, _)| *known == address) {
         return;
     }
@@ -128,6 +143,17 @@
     polls.insert(node.to_owned(), (address, AbortOnDrop(task)));
 }
 
+/// Longest address of an agent, in bytes: a host name, a colon and a port.
+const MAX_ADDRESS_BYTES: usize = 260;
+
+/// Returns the address of an agent as it has registered it; `None` if it cannot be one.
+fn agent_address(value: &[u8]) -> Option<String> {
+    let address = str::from_utf8(value).ok().filter(|text| text.len() <= MAX_ADDRESS_BYTES)?;
+    let authority: Authority = address.parse().ok()?;
+    let has_port = authority.port_u16().is_some_and(|port| port != 0);
+    (has_port && !address.contains('@')).then(|| address.to_owned())
+}
+
 /// Polls one agent for its reports, until the task is aborted.
 async fn poll(planner: Arc<Planner>, term: Arc<Term>, node: String, address: String) {
     let mut seen = 0;
--- a/daemon/src/batch/ingress.rs
+++ b/daemon/src/batch/ingress.rs
@@ -365,7 +365,7 @@
             }
             Ok(CommitOutcome::Conflict(items)) => {
                 if let Some(item) = apply_conflict(entry, id, items) {
-                    let Some((_, known)) = planner::decode::<Record>(keys::JOBS, &item) else {
+                    let Some(known) = planner::decode::<Record>(&item) else {
                         return Err(Refusal::NotStored);
                     };
                     if known.intent == Intent::Refused {
@@ -444,7 +444,7 @@
             }
             Ok(CommitOutcome::Conflict(items)) => {
                 if let Some(item) = apply_conflict(entry, id, items) {
-                    let Some((_, known)) = planner::decode::<Record>(keys::JOBS, &item) else {
+                    let Some(known) = planner::decode::<Record>(&item) else {
                         return Err(Refusal::NotStored);
                     };
                     check_owner(admitted, &known.account)?;
@@ -649,7 +649,7 @@
             (record, 0)
         }
         Some(item) => {
-            let Some((_, mut record)) = planner::decode::<Record>(keys::JOBS, item) else {
+            let Some(mut record) = planner::decode::<Record>(item) else {
                 return Ok(Cancellation::Refused(Refusal::NotStored));
             };
             if let Err(refusal) = check_owner(admitted, &record.account) {
--- a/daemon/src/batch/leader.rs
+++ b/daemon/src/batch/leader.rs
@@ -112,7 +112,10 @@
     loop {
         // A list also returns the store's revision; the key's own may already be compacted away.
         let (found, revision) = match entry.store.list(keys::LEADER, DEADLINE).await {
-            Ok((items, revision)) => (items.into_iter().next(), revision),
+            Ok((items, revision)) => {
+                // Another writer may have added a key that begins with this one.
+                (items.into_iter().find(|item| item.key == keys::LEADER), revision)
+            }
             Err(error) => {
                 log::debug!("event=lead-unknown cause={}", Value(&error.to_string()));
                 time::sleep(PAUSE).await;
@@ -201,7 +204,7 @@
     loop {
         match store.watch(keys::LEADER, revision, WATCH_WAIT).await {
             Ok(WatchOutcome::Events(events, _))
-                if events.iter().any(|event| matches!(event, Event::Removed(_))) =>
+                if events.iter().any(|event| *event == Event::Removed(keys::LEADER.to_owned())) =>
             {
                 return;
             }
--- a/daemon/src/batch/maintenance.rs
+++ b/daemon/src/batch/maintenance.rs
@@ -11,6 +11,7 @@
 use lavendergauge_lib::batch::wave;
 use lavendergauge_lib::batch::wave::Machine;
 use lavendergauge_lib::batch::wave::Record;
+use lavendergauge_lib::batch::wave::Status;
 use lavendergauge_lib::batch::wave::Step;
 use lavendergauge_lib::batch::wave::Wave;
 use lavendergauge_platform::Error;
@@ -84,8 +85,16 @@
         return Ok(());
     }
     let listed = service.list().await?;
-    let machines: BTreeMap<String, Machine> =
-        listed.into_iter().map(|machine| (machine.name.clone(), machine)).collect();
+    let mut machines: BTreeMap<String, Machine> =
+        listed.machines.into_iter().map(|machine| (machine.name.clone(), machine)).collect();
+    if listed.nameless != 0 {
+        // Each VM of the wave that is not listed may be one whose name cannot be read.
+        for name in &wave.machines {
+            let (status, worker) = (Status::Away, String::new());
+            let unknown = || Machine { name: name.clone(), status, worker };
+            machines.entry(name.clone()).or_insert_with(unknown);
+        }
+    }
     let step = wave::next(&planner.tables(), clock::boot(), wave, &stored.record, &machines);
     match step {
         Step::Wait => Ok(()),
--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -28,6 +28,7 @@
 use lavendergauge_platform::Error;
 use lavendergauge_platform::store::Item;
 use lavendergauge_wire::codec;
+use metrics::gauge;
 use metrics::histogram;
 use serde::de::DeserializeOwned;
 use tokio::sync::Notify;
@@ -136,6 +137,7 @@
         match query {
             Query::Job(id) => match tables.jobs.get(id) {
                 None => Reply::Nothing,
+                Some(_) if tables.is_held(*id) => Reply::Nothing,
                 Some(job) => Reply::Job {
                     state: job.state(),
                     account: job.record.account.clone(),
@@ -206,16 +208,28 @@
     let (now, wall_ms) = (clock::boot(), clock::wall_ms());
     let mut tables = planner.tables();
     for item in &jobs {
-        if let Some((id, record)) = decode::<Record>(keys::JOBS, item) {
-            records::note_refused(&mut tables, id, &record, item.revision);
-            records::load_record(&mut tables, now, wall_ms, id, record);
+        let Some(id) = keys::id(keys::JOBS, &item.key) else { continue };
+        match decode::<Record>(item) {
+            Some(record) => {
+                records::note_refused(&mut tables, id, &record, item.revision);
+                records::load_record(&mut tables, now, wall_ms, id, record);
+            }
+            None => records::hold(&mut tables, id),
         }
     }
     for item in &progress {
-        if let Some((id, progress)) = decode_progress(item) {
-            records::load_progress(&mut tables, now, wall_ms, id, &progress);
+        let Some(id) = keys::id(keys::PROGRESS, &item.key) else { continue };
+        match decode_progress(item) {
+            Some(progress) => {
+                records::load_progress(&mut tables, now, wall_ms, id, &progress);
+            }
+            None => records::hold(&mut tables, id),
         }
     }
+    gauge!("lavendergauge_jobs_held").set(tables.held.len() as f64);
+    for id in &tables.held {
+        log::error!("event=job-held job={id} cause=\"its record or progress cannot be read\"");
+    }
     revision
 }
 
@@ -232,11 +246,10 @@
     }
 }
 
-/// Decodes a record; one that cannot be decoded is logged and skipped.
-pub fn decode<T: DeserializeOwned>(prefix: &str, item: &Item) -> Option<(Id, T)> {
-    let id = keys::id(prefix, &item.key)?;
+/// Decodes a record; one that cannot be decoded is logged.
+pub fn decode<T: DeserializeOwned>(item: &Item) -> Option<T> {
     match codec::unpack(&item.value) {
-        Ok(value) => Some((id, value)),
+        Ok(value) => Some(value),
         Err(cause) => {
             let cause = cause.to_string();
             log::error!("event=record-unreadable key={} cause={}", item.key, Value(&cause));
@@ -245,11 +258,10 @@
     }
 }
 
-/// Decodes a job's progress; one that cannot be decoded is logged and skipped.
-fn decode_progress(item: &Item) -> Option<(Id, Progress)> {
-    let id = keys::id(keys::PROGRESS, &item.key)?;
+/// Decodes a job's progress; one that cannot be decoded is logged.
+fn decode_progress(item: &Item) -> Option<Progress> {
     match record_codec::decode_progress(&item.value) {
-        Ok(progress) => Some((id, progress)),
+        Ok(progress) => Some(progress),
         Err(cause) => {
             let cause = cause.to_string();
             log::error!("event=record-unreadable key={} cause={}", item.key, Value(&cause));
@@ -389,14 +401,20 @@
     deadline: Duration,
 ) -> Result<Option<(State, Record)>, Error> {
     let Some(item) = entry.store.read(&keys::job(id), deadline).await? else { return Ok(None) };
-    let Some((_, record)) = decode::<Record>(keys::JOBS, &item) else { return Ok(None) };
-    let progress = entry.store.read(&keys::progress(id), deadline).await?;
-    let progress = progress.and_then(|item| decode_progress(&item));
+    let unreadable = || Error::Malformed("the job's record or progress cannot be read".to_owned());
+    let record: Record = decode(&item).ok_or_else(unreadable)?;
+    let progress = match entry.store.read(&keys::progress(id), deadline).await? {
+        Some(item) => Some(decode_progress(&item).ok_or_else(unreadable)?),
+        None => None,
+    };
     let mut tables = Tables::new(entry.settings.bounds, clock::boot());
     let (now, wall_ms) = (clock::boot(), clock::wall_ms());
     records::load_record(&mut tables, now, wall_ms, id, record.clone());
-    if let Some((_, progress)) = progress {
+    if let Some(progress) = progress {
         records::load_progress(&mut tables, now, wall_ms, id, &progress);
     }
+    if tables.is_held(id) {
+        return Err(unreadable());
+    }
     Ok(tables.jobs.get(&id).map(|job| (job.state(), record)))
 }
--- a/lib/benches/batch_scale.rs
+++ b/lib/benches/batch_scale.rs
@@ -174,6 +174,7 @@
             is_worker_responsive: true,
             is_stopping: false,
             stray_lease_until: 0,
+            partial_list: None,
             worker: Some(Announcement {
                 id: node,
                 incarnation: 1,
--- a/lib/src/batch/change.rs
+++ b/lib/src/batch/change.rs
@@ -54,4 +54,6 @@
     Cleared(Task, u32),
     /// A worker has a run that is not expected there.
     Unexpected(Task, u32),
+    /// A worker listed a run, or the end of one, with a number that was never ordered.
+    Unordered(Task, u32),
 }
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -163,6 +163,11 @@
     pub interval_ms: u64,
 }
 
+/// Most tasks of a job, all steps together.
+pub const MAX_TASKS: u32 = 20_000;
+/// Most steps of a job, which are numbered with 16 bits.
+pub const MAX_STEPS: usize = 1 << 16;
+
 /// A job as its caller submits it.
 #[value]
 #[derive(Default, Serialize, Deserialize)]
@@ -175,6 +180,28 @@
     pub repeat: Repeat,
 }
 
+impl Submission {
+    /// Tells whether the numbers of steps and tasks are within their limits, and every step follows
+    /// earlier ones only.
+    ///
+    /// ```
+    /// use lavendergauge_lib::batch::job::Step;
+    /// use lavendergauge_lib::batch::job::Submission;
+    /// let job = |steps| Submission { steps, ..Submission::default() };
+    /// assert!(job(vec![Step { tasks: 2, ..Step::default() }]).is_sound());
+    /// assert!(!job(vec![Step { tasks: u32::MAX, ..Step::default() }]).is_sound());
+    /// ```
+    pub fn is_sound(&self) -> bool {
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        let follows_earlier = |(index, step): (usize, &Step)| {
+            step.after.iter().all(|earlier| usize::from(*earlier) < index)
+        };
+        tasks <= u64::from(MAX_TASKS)
+            && self.steps.len() <= MAX_STEPS
+            && self.steps.iter().enumerate().all(follows_earlier)
+    }
+}
+
 /// Whether the caller wants a job to run.
 ///
 /// A record is replaced by one with a later variant only.
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -5,6 +5,7 @@
 use smallvec::SmallVec;
 
 use crate::batch::change::Change;
+use crate::batch::job::Id;
 use crate::batch::job::Task;
 use crate::batch::learned;
 use crate::batch::report::End;
@@ -23,6 +24,9 @@
 use crate::key;
 use crate::resource::Resources;
 
+/// Time beyond its grace in which a stopped run ends that the worker does not list, in milliseconds.
+const STOP_SLACK_MS: u64 = 1000;
+
 /// Applies a report that was received at `now` under this planner's fencing token.
 ///
 /// Returns the changes; the run of a [`Change::Unexpected`] has to be stopped.
@@ -60,7 +64,8 @@
         worker.lease_until = worker.lease_until.max(stray_lease_until);
     }
     let worker = &tables.workers[key];
-    let Some(list) = &report.list else { return changes };
+    let is_partial = report.list.is_none();
+    let Some(list) = report.list.as_ref().or(report.partial_list.as_ref()) else { return changes };
     if list.fence != fence || list.incarnation != worker.incarnation {
         return changes;
     }
@@ -76,7 +81,8 @@
         if worker.last_answer.is_none() { bound } else { worker.lease_until.max(bound) };
     worker.lease_until = worker.lease_until.max(stray_lease_until);
     worker.last_answer = Some(requested_at);
-    worker.grant_until = list.sent_at + table::GRANT.as_millis() as u64;
+    worker.grant_until = list.sent_at.saturating_add(table::GRANT.as_millis() as u64);
+    worker.has_partial_list = is_partial;
     apply_ends(tables, now, key, list, &mut changes);
     apply_running(tables, now, key, list, &mut changes);
     if list.received_at != 0 {
@@ -250,14 +256,17 @@
             continue;
         }
         tables.workers[key].newest_end_seen = end.number;
+        let id = end.task.instance.job;
+        if tables.held.contains(&id) {
+            // What the end changes cannot be recorded, so the worker has to keep it.
+            await_record(tables, key, id, u64::MAX);
+            continue;
+        }
         apply_end(tables, now, key, end, changes);
-        if let Some(job) = tables.jobs.get_mut(&end.task.instance.job) {
+        if let Some(job) = tables.jobs.get(&id) {
             let version = job.version;
             if job.recorded_version < version {
-                tables.workers[key].unrecorded.insert(end.task.instance.job, version);
-                if !job.unrecorded_at.contains(&key) {
-                    job.unrecorded_at.push(key);
-                }
+                await_record(tables, key, id, version);
             }
         }
     }
@@ -267,6 +276,16 @@
     }
 }
 
+/// Notes that a worker has to keep its ends until a version of a job is recorded.
+fn await_record(tables: &mut Tables, key: key::Worker, id: Id, version: u64) {
+    tables.workers[key].unrecorded.insert(id, version);
+    if let Some(job) = tables.jobs.get_mut(&id)
+        && !job.unrecorded_at.contains(&key)
+    {
+        job.unrecorded_at.push(key);
+    }
+}
+
 fn apply_end(
     tables: &mut Tables,
     now: Millis,
@@ -278,6 +297,11 @@
     let gang = tables.step(task.instance).is_some_and(|step| step.gang);
     let long_running = tables.step(task.instance).is_some_and(|step| step.long_running);
     let Some(task_state) = tables.task_state_mut(task) else { return };
+    if task_state.run < end.run {
+        // Every run is recorded before it is ordered, so this one was never ordered.
+        changes.push(Change::Unordered(task, end.run));
+        return;
+    }
     changes.push(Change::Ended(task, end.run, end.how.clone()));
     let live = task_state.live;
     if !end.checkpoint.is_empty() && end.run == task_state.run {
@@ -397,14 +421,23 @@
         let task_state = tables.task_state(row.task);
         let live = task_state.and_then(|task_state| task_state.live);
         let is_suspected = task_state.is_some_and(strike::is_suspected);
+        let newest_run = task_state.map_or(u32::MAX, |task_state| task_state.run);
         let found = live.and_then(|live| tables.runs.get_mut(live)).filter(|run| {
             run.number == row.run && run.worker == key && run.incarnation == list.incarnation
         });
         let Some(run) = found else {
-            changes.push(Change::Unexpected(row.task, row.run));
             if let Some(step) = tables.step(row.task.instance) {
                 stray = stray.plus(step.resources());
             }
+            if tables.is_held(row.task.instance.job) {
+                continue;
+            }
+            // A stop of a run that was never ordered would forbid the ones that are still to come.
+            changes.push(if row.run <= newest_run {
+                Change::Unexpected(row.task, row.run)
+            } else {
+                Change::Unordered(row.task, row.run)
+            });
             continue;
         };
         if matches!(run.phase, Phase::Launching) {
@@ -456,6 +489,8 @@
 
 /// Ends the runs that are missing from a list, if the list was requested after their newest order
 /// was settled.
+///
+/// A run that a partial list omits may exist. It ends only after the worker has confirmed a stop.
 fn end_missing_runs(
     tables: &mut Tables,
     now: Millis,
@@ -467,7 +502,14 @@
         let Some(run) = tables.runs.get(run_key) else { continue };
         let task = run.task;
         let here = run.incarnation == list.incarnation;
-        let settled = run.settled_at.is_some_and(|settled_at| settled_at < list.sent_at);
+        let settled = run.settled_at.is_some_and(|settled_at| {
+            if !tables.workers[key].has_partial_list {
+                return settled_at < list.sent_at;
+            }
+            let is_stopped = matches!(run.phase, Phase::Stopping(_)) && run.is_stop_acknowledged;
+            let grace_ms = tables.bounds.stop_grace_ms.saturating_add(STOP_SLACK_MS);
+            is_stopped && settled_at.saturating_add(grace_ms) < list.sent_at
+        });
         let listed = list.running.iter().any(|row| row.task == task && row.run == run.number);
         if !here || !settled || listed {
             continue;
--- a/lib/src/batch/records.rs
+++ b/lib/src/batch/records.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::batch::job;
 use crate::batch::job::Id;
 use crate::batch::job::Intent;
 use crate::batch::job::Record;
@@ -22,7 +23,7 @@
 
 /// Most tasks of the occurrences of one job that have begun and have not ended. Further occurrences
 /// begin as earlier ones end, so that the job's progress remains short enough to be stored.
-pub const MAX_OPEN_TASKS: u32 = 20_000;
+pub const MAX_OPEN_TASKS: u32 = job::MAX_TASKS;
 
 /// Applies a job's record as an entry wrote it; of a known job only the caller's intent changes.
 ///
@@ -40,16 +41,57 @@
         }
         return;
     }
+    if tables.held.contains(&id) {
+        return;
+    }
+    if !record.submission.is_sound() {
+        hold(tables, id);
+        return;
+    }
     let age = wall_ms.saturating_sub(record.accepted_ms);
     tables.add_job(id, Millis(now.0.saturating_sub(age)), record);
 }
 
+/// Holds a job whose record or progress cannot be read, see [`Tables::held`].
+pub fn hold(tables: &mut Tables, id: Id) {
+    for jobs in [
+        &mut tables.dirty,
+        &mut tables.unsettled,
+        &mut tables.active,
+        &mut tables.recurring,
+        &mut tables.waiting,
+    ] {
+        jobs.remove(&id);
+    }
+    tables.held.insert(id);
+}
+
+/// Tells whether progress is of a job as it was submitted: its occurrences have its steps and tasks.
+fn is_progress_of(job: &Job, progress: &Progress) -> bool {
+    let count = job.record.submission.repeat.count.max(1);
+    let has_steps = |occurrence: &progress::Occurrence| {
+        let has_tasks =
+            |(step, tasks): (&job::Step, &Vec<progress::Task>)| step.tasks as usize == tasks.len();
+        occurrence.number < count
+            && occurrence.steps.len() == job.steps().len()
+            && job.steps().iter().zip(&occurrence.steps).all(has_tasks)
+    };
+    progress.from <= count && progress.occurrences.iter().all(has_steps)
+}
+
 /// Restores the progress of a job that an earlier planner recorded. Call it right after the job's
 /// record was applied.
 ///
+/// Progress that is not of the job as it was submitted is not applied, and the job is held.
+///
 /// Runs that the earlier planner left may still exist. Their worker's next list shows whether they
 /// do; without one they end when the last grant of an earlier planner has expired.
 pub fn load_progress(tables: &mut Tables, now: Millis, wall_ms: u64, id: Id, progress: &Progress) {
+    let Some(job) = tables.jobs.get(&id) else { return };
+    if !is_progress_of(job, progress) {
+        hold(tables, id);
+        return;
+    }
     let lease_until = tables.took_over + table::takeover_bound();
     let mut nodes = Vec::new();
     for worker in progress
--- a/lib/src/batch/report.rs
+++ b/lib/src/batch/report.rs
@@ -8,9 +8,12 @@
 use crate::batch::job::Task;
 use crate::resource::Resources;
 
+/// Most accelerators, thousandths of a core or megabytes of a worker.
+pub const MAX_CAPACITY: u32 = 1_000_000_000;
+
 /// A worker as it announces itself to the agent on its VM.
 #[value]
-#[derive(Serialize, Deserialize)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Announcement {
     /// Identifier.
     pub id: String,
@@ -37,8 +40,19 @@
 }
 
 impl Announcement {
-    /// Returns the total resources.
+    /// Returns the total resources; none when one of them is beyond what a worker can have.
+    ///
+    /// ```
+    /// use lavendergauge_lib::batch::report::Announcement;
+    /// use lavendergauge_lib::resource::Resources;
+    /// let odd = Announcement { memory_mb: u64::MAX, processors: 1000, ..Announcement::default() };
+    /// assert_eq!(odd.capacity(), Resources::default());
+    /// ```
     pub fn capacity(&self) -> Resources {
+        let most = u64::from(self.accelerators.max(self.processors)).max(self.memory_mb);
+        if u64::from(MAX_CAPACITY) < most {
+            return Resources::default();
+        }
         Resources {
             accelerators: self.accelerators,
             processors: self.processors,
@@ -142,6 +156,10 @@
     pub worker: Option<Announcement>,
     /// The worker's newest list; `None` before the first.
     pub list: Option<List>,
+    /// The worker's newest list if it may omit runs or ends; [`Report::list`] is then `None`, since
+    /// an earlier version takes every run that is not listed for one that has ended.
+    #[serde(default)]
+    pub partial_list: Option<List>,
     /// Time of the agent's clock until which the worker may hold a lease by the clock of an earlier
     /// incarnation, in milliseconds; 0 from an agent that does not tell.
     #[serde(default)]
--- a/lib/src/batch/supervise.rs
+++ b/lib/src/batch/supervise.rs
@@ -53,6 +53,7 @@
     for &key in workers {
         let Some(worker) = tables.workers.get(key) else { continue };
         let reported_at = worker.last_answer.unwrap_or(Millis(0));
+        let has_partial_list = worker.has_partial_list;
         for run_key in worker.runs.clone() {
             let Some(run) = tables.runs.get(run_key) else { continue };
             let task = run.task;
@@ -60,8 +61,9 @@
             let limit =
                 STUCK_AFTER.max(Duration::from_millis(rank::estimated_ms(step) / STUCK_DIVISOR));
             let limit = trust::stall_limit(tables, now, step, run, limit);
-            let working =
-                run.phase == Phase::Running && run.seen_at.is_some() && !step.long_running;
+            // A run that a partial list omits makes no progress either.
+            let is_listed = run.seen_at.is_some() || has_partial_list;
+            let working = run.phase == Phase::Running && is_listed && !step.long_running;
             if !working || 100 <= run.percent || reported_at.since(run.progressed_at) < limit {
                 continue;
             }
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -353,6 +353,8 @@
     pub is_reachable: bool,
     /// When the newest list that was received under this planner's fencing token was requested.
     pub last_answer: Option<Millis>,
+    /// Whether the newest list may omit runs.
+    pub has_partial_list: bool,
     /// Time after which no run can exist on it, unless a later list arrives.
     pub lease_until: Millis,
     /// Agent's clock in its last report.
@@ -493,6 +495,9 @@
     pub learned: BTreeMap<String, learned::Pending>,
     /// Jobs whose record has to be written.
     pub dirty: BTreeSet<Id>,
+    /// Jobs whose record or progress cannot be read: what they run is not known, so it goes on,
+    /// nothing is started for them, and their ends are kept by the workers.
+    pub held: BTreeSet<Id>,
     /// Jobs that changed since the last tick: their outcome and waiting tasks are to be determined.
     pub unsettled: BTreeSet<Id>,
     /// Jobs that are active; some that have just been cancelled may be among them.
@@ -546,6 +551,7 @@
             quarantined: BTreeSet::new(),
             learned: BTreeMap::new(),
             dirty: BTreeSet::new(),
+            held: BTreeSet::new(),
             unsettled: BTreeSet::new(),
             active: BTreeSet::new(),
             recurring: BTreeSet::new(),
@@ -605,6 +611,12 @@
         self.unsettled.insert(id);
     }
 
+    /// Tells whether what a job runs is not known and has to go on; see [`Tables::held`].
+    pub fn is_held(&self, id: Id) -> bool {
+        let is_wanted = |job: &Job| job.record.intent == Intent::Wanted;
+        self.held.contains(&id) && self.jobs.get(&id).is_none_or(is_wanted)
+    }
+
     /// Removes a job without runs.
     pub fn remove_job(&mut self, id: Id) {
         self.jobs.remove(&id);
@@ -762,6 +774,7 @@
             is_responsive: false,
             is_reachable: false,
             last_answer: None,
+            has_partial_list: false,
             lease_until,
             agent_clock: 0,
             clock_read: Millis(0),
