batch lists: ends of a held job that is cancelled are released; one VM holds up no wave

The agent cloned its worker's list twice for each report.

An order for the maintenance of one VM that got no answer ended the round, so the VMs after it in the wave waited until it was answered. The others are now ordered in the same round, and the failure is still reported. Not shown by a test: the stand-ins have no VM service.

--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -162,6 +162,8 @@
         let mut state = self.state();
         let clock = clock::boot().0;
         state.forget_old_crashes(clock);
+        let list = state.list.clone();
+        let (list, partial_list) = if state.is_list_partial { (None, list) } else { (list, None) };
         Report {
             node: self.name.clone(),
             clock,
@@ -172,8 +174,8 @@
             is_worker_responsive: state.is_worker_responsive,
             is_stopping: state.is_stopping,
             worker: state.worker.clone(),
-            list: state.list.clone().filter(|_| !state.is_list_partial),
-            partial_list: state.list.clone().filter(|_| state.is_list_partial),
+            list,
+            partial_list,
             stray_lease_until: state.leases.stray_until(),
             crashes: state.crashes.iter().cloned().collect(),
         }
--- a/daemon/src/batch/maintenance.rs
+++ b/daemon/src/batch/maintenance.rs
@@ -111,6 +111,7 @@
         Step::Order(names) => {
             stored.record.ordered.extend(names.iter().cloned());
             write_record(entry, term, wave.number, stored).await?;
+            let mut failure = None;
             for name in names {
                 let ordered = service.maintain(&entry.name, term.fence, &name, wave.number).await;
                 log::info!(
@@ -125,10 +126,11 @@
                     Ok(Reply::Refused(_)) => {
                         stored.record.ordered.remove(&name);
                     }
-                    Err(error) => return Err(error),
+                    // It is ordered again at the next check, and the others need not wait for it.
+                    Err(error) => failure = Some(error),
                 }
             }
-            Ok(())
+            failure.map_or(Ok(()), Err)
         }
     }
 }
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -257,7 +257,7 @@
         }
         tables.workers[key].newest_end_seen = end.number;
         let id = end.task.instance.job;
-        if tables.held.contains(&id) {
+        if tables.is_held(id) {
             // What the end changes cannot be recorded, so the worker has to keep it.
             await_record(tables, key, id, u64::MAX);
             continue;
--- a/lib/src/batch/records.rs
+++ b/lib/src/batch/records.rs
@@ -38,6 +38,9 @@
         if job.record.intent < record.intent {
             job.record = Arc::new(record);
             tables.unsettled.insert(id);
+            if tables.held.contains(&id) {
+                release_ends(tables, id);
+            }
         }
         return;
     }
@@ -66,6 +69,16 @@
     tables.held.insert(id);
 }
 
+/// Lets the workers discard the ends of a held job that is not to run any more.
+fn release_ends(tables: &mut Tables, id: Id) {
+    for worker in tables.workers.values_mut() {
+        worker.unrecorded.remove(&id);
+        if worker.unrecorded.is_empty() {
+            worker.acknowledged = worker.newest_end_seen;
+        }
+    }
+}
+
 /// Tells whether progress is of a job as it was submitted: its occurrences have its steps and tasks.
 fn is_progress_of(job: &Job, progress: &Progress) -> bool {
     let count = job.record.submission.repeat.count.max(1);
--- a/lib/tests/batch_partial.rs
+++ b/lib/tests/batch_partial.rs
@@ -113,6 +113,21 @@
     assert_eq!(sim.state(id), Some(State::Completed));
 }
 
+#[test]
+fn held_job_cancelled() {
+    // The ends of a held job that is cancelled are not kept for ever.
+    let mut sim = Simulation::new(1);
+    let (id, _, index) = start(&mut sim, 1000);
+    sim.stored.remove(&id);
+    sim.take_over();
+    records::hold(&mut sim.tables, id);
+    sim.run_for(2000);
+    assert_eq!(sim.workers[index].ends.len(), 1);
+    sim.cancel(id);
+    sim.run_for(500);
+    assert_eq!((sim.state(id), sim.workers[index].ends.len()), (Some(State::Cancelled), 0));
+}
+
 #[test]
 fn foreign_progress() {
     // Progress with other steps or tasks than the job made the planner end by itself.
