settings: a store with short values is no fault

An entry did not start where the store takes values shorter than 64 KiB; jobs that do not fit are refused one by one. Found by reading, no run.

--- a/daemon/src/settings_key.rs
+++ b/daemon/src/settings_key.rs
@@ -140,7 +140,7 @@
     key("batch", "peer_address", Audience::Batch, Kind::Address, REQUIRED, "address at which calls of the fleet's processes are received and metrics are served"),
     key("batch", "advertised_address", Audience::Batch, Kind::Address, Some(""), "address at which the fleet's processes are told to reach this one, if it differs from peer_address"),
     key("batch", "store_address", Audience::Batch, Kind::Address, REQUIRED, "address of the platform's store"),
-    key("batch", "store_value_bytes", Audience::BatchEntry, Kind::Amount(65_536..=1_073_741_824), Some("1048576"), "longest value that the platform's store takes, in bytes"),
+    key("batch", "store_value_bytes", Audience::BatchEntry, Kind::Amount(1024..=1_073_741_824), Some("1048576"), "longest value that the platform's store takes, in bytes"),
     key("batch", "service_address", Audience::BatchEntry, Kind::Address, REQUIRED, "address at which callers' requests are received"),
     key("batch", "ready_address", Audience::BatchEntry, Kind::Address, REQUIRED, "address of the health check for callers' load balancer"),
     key("batch", "machines_address", Audience::BatchEntry, Kind::Address, Some(""), "address of the platform's VM service"),
