--- a/lib/src/batch/wave.rs
+++ b/lib/src/batch/wave.rs
@@ -26,6 +26,8 @@
     pub machines: Vec<String>,
     /// Maximum number of VMs that may be down for it at a time.
     pub max_away: usize,
+    /// Whether it names VMs that cannot be read, so that it cannot be completed.
+    pub is_partial: bool,
 }
 
 /// Whether a VM is in operation.
@@ -100,7 +102,7 @@
     let mut waiting: Vec<&Machine> =
         present.iter().copied().filter(|machine| !record.ordered.contains(&machine.name)).collect();
     if waiting.is_empty() {
-        return if away == 0 { Step::Complete } else { Step::Wait };
+        return if away == 0 && !wave.is_partial { Step::Complete } else { Step::Wait };
     }
     waiting.retain(|machine| machine.status == Status::Up);
     waiting.sort_by_key(|machine| (lost_work(tables, now, &machine.worker), machine.name.clone()));
--- a/lib/tests/batch_advice.rs
+++ b/lib/tests/batch_advice.rs
@@ -133,7 +133,7 @@
     sim.run_for(4000);
     let busy = sim.starts[0].3.replace("side", "m");
     let names: Vec<String> = (0..3).map(|index| format!("m-{index}")).collect();
-    let wave = Wave { number: 1, machines: names, max_away: 1 };
+    let wave = Wave { number: 1, machines: names, max_away: 1, is_partial: false };
     let mut record = Record::default();
     let mut order = Vec::new();
     let mut statuses = [Status::Up; 3];
@@ -161,7 +161,12 @@
     // A maintenance order that may have been carried out is repeated before any other is sent.
     let mut sim = Simulation::new(1);
     sim.run_for(4000);
-    let wave = Wave { number: 1, machines: vec!["m-0".into(), "m-1".into()], max_away: 1 };
+    let wave = Wave {
+        number: 1,
+        machines: vec!["m-0".into(), "m-1".into()],
+        max_away: 1,
+        is_partial: false,
+    };
     let record = Record { ordered: ["m-1".to_owned()].into(), ..Record::default() };
     let statuses = [Status::Up, Status::Up];
     let step = wave::next(&sim.tables, Millis(sim.now), &wave, &record, &machines(&statuses));
@@ -172,7 +177,7 @@
 fn wave_after_takeover() {
     let mut sim = Simulation::new(1);
     sim.take_over();
-    let wave = Wave { number: 1, machines: vec!["m-0".into()], max_away: 1 };
+    let wave = Wave { number: 1, machines: vec!["m-0".into()], max_away: 1, is_partial: false };
     let all = machines(&[Status::Up]);
     let step = wave::next(&sim.tables, Millis(sim.now), &wave, &Record::default(), &all);
     assert_eq!(step, wave::Step::Wait, "an earlier planner may still act");
