batch records: the store limits the tasks of a job

Cause: a fixed limit of 20,000 tasks in the reader of submissions, from before the store's limit was looked at, and a check of the store that took all occurrences for open at once.

Change: a job is accepted if its steps can be numbered and the packed progress of one occurrence fits into a value whatever its tasks do: 41,000 tasks of one step with values of 1 MiB. As many occurrences begin as fit. Their size is kept with the job, so nothing is counted over them each tick. Records with more than 131,072 tasks are held, as no entry accepts them and a planner would run out of memory.

--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -45,6 +45,7 @@
 use crate::batch::message::Orders;
 use crate::batch::message::Query;
 use crate::batch::message::Reply;
+use crate::batch::record_codec;
 use crate::batch::record_reader;
 use crate::batch::record_writer;
 use crate::clock;
@@ -156,6 +157,7 @@
 pub async fn run(entry: &Arc<Entry>, term: &Arc<Term>) -> &'static str {
     let mut tables = Tables::new(entry.settings.bounds, clock::boot());
     tables.policy = entry.settings.policy;
+    tables.max_open_tasks = record_codec::max_open_tasks(entry.settings.store_value_bytes);
     let planner = Arc::new(Planner {
         fence: term.fence,
         wake: Notify::new(),
--- a/daemon/src/batch/record_codec.rs
+++ b/daemon/src/batch/record_codec.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use lavendergauge_lib::batch::job::Record;
+use lavendergauge_lib::batch::job::Step;
 use lavendergauge_lib::batch::job::Submission;
 use lavendergauge_lib::batch::progress::Crashes;
 use lavendergauge_lib::batch::progress::Occurrence;
@@ -14,7 +15,6 @@
 use lavendergauge_lib::batch::progress::Progress;
 use lavendergauge_lib::batch::progress::Task;
 use lavendergauge_lib::batch::progress::WorkerIncarnation;
-use lavendergauge_lib::batch::records;
 use lavendergauge_wire::codec;
 use serde::Deserialize;
 use serde::Serialize;
@@ -23,11 +23,19 @@
 const NAMED_TASKS: usize = 1000;
 /// Longest value that the named form may have, in bytes.
 const NAMED_BYTES: usize = 256 << 10;
-/// Greatest length of a task in the packed form without its checkpoint, with its share of the
-/// occurrence that holds it, in bytes.
-const PACKED_TASK_BYTES: usize = 40;
-/// Room for the names of workers in the packed form, in bytes.
-const PACKED_WORKER_BYTES: usize = 128 << 10;
+/// Length of the packed form beside its occurrences and workers, in bytes.
+const PACKED_FRAME_BYTES: u64 = 100;
+/// Length of an occurrence in the packed form beside its steps, in bytes.
+const PACKED_OCCURRENCE_BYTES: u64 = 11;
+/// Length of a task in the packed form without its checkpoint, in bytes: its numbers of runs and
+/// failures have 16 bits.
+const PACKED_TASK_BYTES: u64 = 22;
+/// Length of a task that runs until it is cancelled, in bytes: its numbers have 32 bits.
+const PACKED_LONG_RUNNING_BYTES: u64 = 34;
+/// Divisor of a value's length that gives the room for the names of workers in it.
+const WORKER_ROOM_DIVISOR: u64 = 8;
+/// Length of a value for each task or step that may be open at a time, in bytes.
+const BYTES_PER_OPEN_TASK: usize = 32;
 /// When a job ended for versions that do not know the packed form: never, so that they keep it.
 const FAR_FUTURE_MS: u64 = 1 << 52;
 
@@ -98,25 +106,49 @@
     check_length(codec::pack_unnamed(record)?, limit)
 }
 
-/// Tells whether the progress of a job fits into a value of `limit` bytes at any time.
+/// Tells whether a job can be stored for its whole life: its steps and tasks can be numbered, and the
+/// progress of an occurrence fits into a value of `limit` bytes whatever its tasks do.
+///
+/// Of a job with several occurrences, only as many begin as fit; see [`max_open_tasks`].
 ///
 /// ```
 /// use lavendergauge_daemon::batch::record_codec;
 /// use lavendergauge_lib::batch::job::Step;
 /// use lavendergauge_lib::batch::job::Submission;
-/// let steps = vec![Step { tasks: 20_000, ..Step::default() }];
+/// let steps = vec![Step { tasks: 40_000, ..Step::default() }];
 /// let job = Submission { steps, ..Submission::default() };
 /// assert!(record_codec::fits(&job, 1 << 20) && !record_codec::fits(&job, 1 << 16));
 /// ```
 pub fn fits(submission: &Submission, limit: usize) -> bool {
-    let tasks: u64 = submission.steps.iter().map(|step| u64::from(step.tasks)).sum();
-    let open = tasks.saturating_mul(u64::from(submission.repeat.count.max(1)));
-    let most = open.min(tasks.max(u64::from(records::MAX_OPEN_TASKS)));
-    let steps = submission.steps.len() as u64;
-    // A job with few tasks fits whatever room there is for names.
-    let names = most.saturating_mul(PACKED_TASK_BYTES as u64).min(PACKED_WORKER_BYTES as u64);
-    most.saturating_mul(PACKED_TASK_BYTES as u64).saturating_add(steps).saturating_add(names)
-        <= limit as u64
+    let step_bytes = |step: &Step| {
+        let task = if step.long_running { PACKED_LONG_RUNNING_BYTES } else { PACKED_TASK_BYTES };
+        array_header_bytes(step.tasks) + u64::from(step.tasks) * task
+    };
+    let steps: u64 = submission.steps.iter().map(step_bytes).sum();
+    let bytes = PACKED_FRAME_BYTES + PACKED_OCCURRENCE_BYTES + steps;
+    let limit = limit as u64;
+    // A job with fewer tasks than the fleet has workers names fewer of them.
+    let names = (limit / WORKER_ROOM_DIVISOR).min(2 * bytes);
+    submission.is_valid() && bytes + names <= limit
+}
+
+/// Length of the header of an array in MessagePack, in bytes.
+fn array_header_bytes(items: u32) -> u64 {
+    match items {
+        0..16 => 1,
+        16..65_536 => 3,
+        _ => 5,
+    }
+}
+
+/// Returns how many tasks and steps of one job may be in occurrences that have begun, where values
+/// have at most `limit` bytes.
+///
+/// ```
+/// assert_eq!(lavendergauge_daemon::batch::record_codec::max_open_tasks(1 << 20), 32_768);
+/// ```
+pub fn max_open_tasks(limit: usize) -> usize {
+    limit / BYTES_PER_OPEN_TASK
 }
 
 /// Encodes a job's progress as a value of at most `limit` bytes.
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -163,8 +163,8 @@
     pub interval_ms: u64,
 }
 
-/// Most tasks of a job, all steps together.
-pub const MAX_TASKS: u32 = 20_000;
+/// Most tasks of a job, all steps together. The store's limit for a value is lower as a rule.
+pub const MAX_TASKS: u32 = 1 << 17;
 /// Most steps of a job, which are numbered with 16 bits.
 pub const MAX_STEPS: usize = 1 << 16;
 
@@ -181,6 +181,20 @@
 }
 
 impl Submission {
+    /// Returns the size of an occurrence: the number of its steps and tasks. A task that runs until it
+    /// is cancelled counts twice, since more has to be recorded of it.
+    ///
+    /// ```
+    /// use lavendergauge_lib::batch::job::Step;
+    /// use lavendergauge_lib::batch::job::Submission;
+    /// let steps = vec![Step { tasks: 3, ..Step::default() }];
+    /// assert_eq!(Submission { steps, ..Submission::default() }.size(), 4);
+    /// ```
+    pub fn size(&self) -> usize {
+        let tasks = |step: &Step| step.tasks as usize * if step.long_running { 2 } else { 1 };
+        self.steps.iter().map(|step| tasks(step).saturating_add(1)).fold(0, usize::saturating_add)
+    }
+
     /// Tells whether the numbers of steps and tasks are within their limits, and every step follows
     /// earlier ones only.
     ///
--- a/lib/src/batch/records.rs
+++ b/lib/src/batch/records.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use crate::batch::hold;
-use crate::batch::job;
 use crate::batch::job::Id;
 use crate::batch::job::Intent;
 use crate::batch::job::Record;
@@ -22,10 +21,6 @@
 use crate::clock::Millis;
 use crate::key;
 
-/// Most tasks of the occurrences of one job that have begun and have not ended. Further occurrences
-/// begin as earlier ones end, so that the job's progress remains short enough to be stored.
-pub const MAX_OPEN_TASKS: u32 = job::MAX_TASKS;
-
 /// Applies a job's record as an entry wrote it; of a known job only the caller's intent changes.
 ///
 /// The record of a refused job is no job, see [`note_refused`]. `wall_ms` is the time of day at `now`,
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -48,6 +48,8 @@
 pub const GRANT_AFTER_LEASE: Duration = Duration::from_millis(8000);
 /// Share of full speed at which a run works unless it is ordered otherwise, in percent.
 const FULL_PACE: u32 = 100;
+/// Most tasks and steps of a job in occurrences that have begun, unless set otherwise.
+const MAX_OPEN_TASKS: usize = 32_768;
 /// Twice the share by which a worker's clock may be slow, in percent.
 pub(super) const CLOCK_SLACK_PERCENT: u32 = 4;
 
@@ -270,6 +272,8 @@
     pub planned: Vec<key::Run>,
     /// Workers that may not discard ends of the job's runs before its progress is recorded.
     pub unrecorded_at: SmallVec<[key::Worker; 4]>,
+    /// Size of an occurrence; see [`Submission::size`](crate::batch::job::Submission::size).
+    pub size: usize,
     /// When it was accepted, on the planner's clock.
     pub accepted: Millis,
     /// Occurrences that have begun and have not ended.
@@ -309,6 +313,13 @@
         self.record.intent == Intent::Wanted && self.outcome.is_none()
     }
 
+    /// Tells whether a further occurrence may begin while at most `max_open` tasks and steps may be
+    /// in the ones that have begun. The first one always may.
+    pub fn may_begin(&self, max_open: usize) -> bool {
+        let begun = self.occurrences.len();
+        begun == 0 || (begun + 1).saturating_mul(self.size) <= max_open
+    }
+
     /// Tells whether it has occurrences that have not begun.
     pub fn is_recurring(&self) -> bool {
         self.next < self.record.submission.repeat.count.max(1)
@@ -449,6 +460,8 @@
     pub config: Arc<Config>,
     /// Bounds of the deployment.
     pub bounds: Bounds,
+    /// Most tasks and steps of a job in occurrences that have begun; see [`Job::may_begin`].
+    pub max_open_tasks: usize,
     /// Optional decisions that the settings enable.
     pub policy: Policy,
     /// Data centres that operators have taken out.
@@ -527,6 +540,7 @@
         Tables {
             config: Arc::default(),
             bounds,
+            max_open_tasks: MAX_OPEN_TASKS,
             policy: Policy::default(),
             evacuated: BTreeSet::new(),
             jobs: BTreeMap::new(),
@@ -586,6 +600,7 @@
         let job = Job {
             queue: Arc::new(queue),
             critical_paths: rank::critical_paths(&record.submission.steps),
+            size: record.submission.size(),
             record: Arc::new(record),
             accepted,
             waiting: Vec::new(),
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -66,13 +66,7 @@
     for id in ids {
         let Some(job) = tables.jobs.get_mut(&id) else { continue };
         let repeat = job.record.submission.repeat;
-        let tasks: usize = job.steps().iter().map(|step| step.tasks as usize).sum();
-        let mut open: usize =
-            job.occurrences.values().flat_map(|row| &row.steps).map(Vec::len).sum();
-        while job.is_active() && job.is_recurring() {
-            if open != 0 && (records::MAX_OPEN_TASKS as usize) < open + tasks {
-                break;
-            }
+        while job.is_active() && job.is_recurring() && job.may_begin(tables.max_open_tasks) {
             let due = records::due(job, now, wall_ms, job.next);
             if now < due && repeat.count != 0 {
                 break;
@@ -83,7 +77,6 @@
                 .map(|step| (0..step.tasks).map(|_| TaskState::default()).collect())
                 .collect();
             job.occurrences.insert(job.next, Occurrence { steps, due });
-            open += tasks;
             events.push(Event::Begun(beginning(id, job, job.next, now.since(due))));
             job.next += 1;
             tables.unsettled.insert(id);
