batch tick: a recurring job that is behind leaves the planner to others

Callers saw: beside a recurring job with thousands of overdue occurrences, other jobs started late.

Cause: as many occurrences began as the store holds, 16,384 of one task, and each tick determines, ranks and tries to place all of their steps.

Change: no further occurrence begins while 1,000 steps of its job wait. Progress of an earlier version may list more that have begun; a planner takes back the newest ones that had no run. The number of accelerators that a job needs saturates; it could wrap, so that a guarantee seemed to cover it (read, no test).

Ruled out: a longer limit of the test, since the cause is in the planner.

Before: batch_recurring few_waiting and stored_backlog fail (15,997 and 15,947 steps wait). After: 6 of 6 tests of batch_recurring pass, backlog_keeps_workers_busy among them; recurring_before takes 1.5 s, 1.2 s of processor time; all tests of the lib pass.

--- a/lib/src/batch/rank.rs
+++ b/lib/src/batch/rank.rs
@@ -87,7 +87,8 @@
 
 /// Returns the number of accelerators that a job needs at a time.
 pub(super) fn accelerators_needed(job: &Job) -> u32 {
-    job.steps().iter().map(|step| step.accelerators * step.tasks).max().unwrap_or(0)
+    let needed = |step: &Step| step.accelerators.saturating_mul(step.tasks);
+    job.steps().iter().map(needed).max().unwrap_or(0)
 }
 
 /// Returns the jobs that are covered by their client account's guarantee, sorted by identifier.
--- a/lib/src/batch/records.rs
+++ b/lib/src/batch/records.rs
@@ -112,6 +112,7 @@
         let due = due(job, now, wall_ms, recorded.number);
         job.occurrences.insert(recorded.number, table::Occurrence { steps, due });
     }
+    job.withdraw_excess();
     for run in inherited {
         tables.insert_run(run);
     }
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -50,6 +50,8 @@
 const FULL_PACE: u32 = 100;
 /// Most tasks and steps of a job in occurrences that have begun, unless set otherwise.
 const MAX_OPEN_TASKS: usize = 32_768;
+/// Number of a job's waiting steps from which no further occurrence begins: each tick ranks them all.
+const MAX_WAITING_STEPS: usize = 1000;
 /// Twice the share by which a worker's clock may be slow, in percent.
 pub(super) const CLOCK_SLACK_PERCENT: u32 = 4;
 
@@ -313,11 +315,28 @@
         self.record.intent == Intent::Wanted && self.outcome.is_none()
     }
 
-    /// Tells whether a further occurrence may begin while at most `max_open` tasks and steps may be
-    /// in the ones that have begun. The first one always may.
-    pub fn may_begin(&self, max_open: usize) -> bool {
+    /// Tells whether a further occurrence may begin while `waiting` steps of the job wait, and at most
+    /// `max_open` tasks and steps may be in the occurrences that have begun. The first one always may.
+    pub(super) fn may_begin(&self, waiting: usize, max_open: usize) -> bool {
         let begun = self.occurrences.len();
-        begun == 0 || (begun + 1).saturating_mul(self.size) <= max_open
+        let fits = (begun + 1).saturating_mul(self.size) <= max_open;
+        begun == 0 || fits && waiting < MAX_WAITING_STEPS
+    }
+
+    /// Takes the newest occurrences back that have begun without a run and would not begin now; an
+    /// earlier version began all that were due.
+    pub(super) fn withdraw_excess(&mut self) {
+        let has_run = |row: &Occurrence| row.steps.iter().flatten().any(|task| task.run != 0);
+        let untouched = self.occurrences.values().filter(|row| !has_run(row)).count();
+        let kept = MAX_WAITING_STEPS.div_ceil(self.steps().len().max(1));
+        for _ in kept..untouched {
+            let Some(newest) = self.occurrences.last_entry() else { return };
+            if has_run(newest.get()) {
+                return;
+            }
+            self.next = *newest.key();
+            newest.remove();
+        }
     }
 
     /// Tells whether it has occurrences that have not begun.
@@ -460,7 +479,7 @@
     pub config: Arc<Config>,
     /// Bounds of the deployment.
     pub bounds: Bounds,
-    /// Most tasks and steps of a job in occurrences that have begun; see [`Job::may_begin`].
+    /// Most tasks and steps of a job in occurrences that have begun; a single one may have more.
     pub max_open_tasks: usize,
     /// Optional decisions that the settings enable.
     pub policy: Policy,
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -66,7 +66,10 @@
     for id in ids {
         let Some(job) = tables.jobs.get_mut(&id) else { continue };
         let repeat = job.record.submission.repeat;
-        while job.is_active() && job.is_recurring() && job.may_begin(tables.max_open_tasks) {
+        let is_settled = !tables.unsettled.contains(&id);
+        let mut waiting = if is_settled { job.waiting.len() } else { waiting_steps(job).len() };
+        while job.is_active() && job.is_recurring() && job.may_begin(waiting, tables.max_open_tasks)
+        {
             let due = records::due(job, now, wall_ms, job.next);
             if now < due && repeat.count != 0 {
                 break;
@@ -79,6 +82,7 @@
             job.occurrences.insert(job.next, Occurrence { steps, due });
             events.push(Event::Begun(beginning(id, job, job.next, now.since(due))));
             job.next += 1;
+            waiting += job.steps().len();
             tables.unsettled.insert(id);
         }
         if !job.is_active() || !job.is_recurring() {
--- a/lib/tests/batch_recurring.rs
+++ b/lib/tests/batch_recurring.rs
@@ -8,9 +8,14 @@
 use lavendergauge_lib::batch::job::Repeat;
 use lavendergauge_lib::batch::job::State;
 use lavendergauge_lib::batch::job::Task;
+use lavendergauge_lib::batch::progress;
+use lavendergauge_lib::batch::progress::Progress;
 use lavendergauge_lib::batch::records;
 use lavendergauge_lib::clock::Millis;
 
+/// Most steps of one recurring job that may wait at a time.
+const MAX_WAITING: usize = 1000;
+
 /// Submits a job of which `count` occurrences are overdue, one second apart.
 fn submit_overdue(sim: &mut Simulation, count: u32, tasks: u32) -> Id {
     let id = sim.submit("plain", "brno", vec![step(tasks, 8, 200)], 200);
@@ -74,3 +79,51 @@
     sim.run_for(20_000);
     assert_eq!(sim.state(id), Some(State::Completed));
 }
+
+#[test]
+fn few_waiting() {
+    // The planner ranked all overdue occurrences in each tick, and all other jobs waited for it.
+    let mut sim = Simulation::new(1);
+    let id = submit_overdue(&mut sim, 16_000, 1);
+    sim.run_for(200);
+    let waiting = sim.tables.jobs[&id].waiting.len();
+    assert!((MAX_WAITING / 2..=MAX_WAITING).contains(&waiting), "{waiting} steps wait");
+}
+
+#[test]
+fn backlog_keeps_workers_busy() {
+    // Further occurrences begin as soon as earlier ones have found their places.
+    let mut sim = Simulation::new(40);
+    let id = submit_overdue(&mut sim, 3000, 1);
+    let started_at = sim.now;
+    assert!(sim.run_until_ended(20_000), "{:?}", sim.state(id));
+    // 120 workers run one task of 200 ms at a time.
+    let ideal_ms = 3000 / 120 * 200;
+    let took_ms = sim.now - started_at;
+    assert!(took_ms < 2 * ideal_ms, "{took_ms} ms");
+}
+
+#[test]
+fn stored_backlog() {
+    // An earlier version had begun all overdue occurrences, and its progress lists them.
+    let mut sim = Simulation::new(1);
+    let count = 16_000;
+    let id = submit_overdue(&mut sim, count, 1);
+    let task = |run| progress::Task { run, done: run != 0, ..progress::Task::default() };
+    let occurrence = |number| progress::Occurrence {
+        number,
+        steps: vec![vec![task(u32::from(number.is_multiple_of(2) && number < 100))]],
+    };
+    let occurrences = (0..count).map(occurrence).collect();
+    sim.stored.insert(id, Progress { occurrences, ..Progress::default() });
+    sim.take_over();
+    sim.run_for(200);
+    let job = &sim.tables.jobs[&id];
+    assert!(job.waiting.len() <= MAX_WAITING, "{} steps wait", job.waiting.len());
+    assert!(99 <= job.next, "occurrences that have had runs are kept");
+    let is_done = |start: &&(u64, Task, u32, String)| {
+        let number = start.1.instance.occurrence;
+        number < 100 && number.is_multiple_of(2)
+    };
+    assert_eq!(sim.starts.iter().find(is_done), None, "no occurrence runs again");
+}
