batch watches: keys are listed when a watch fails again and again

Callers would have seen: after another writer, or a burst, left more than 4 MiB of changes while a process could not watch, the planner got to know no further agent or job by its watch, and an entry went on to start tasks in a data centre that operators had taken out, until the store dropped its history.

Cause: a watch that fails is repeated from the same revision, and an answer that is longer than a response may be fails each time: a refusal for good, repeated as if in doubt.

Change: after two or three watches that fail in a row the keys are listed, page by page, and watched from there. Both watches of the planner share one function.

Before: long_watch agents and data_centres fail (no task within 20 s; one task started in the data centre). After: both pass.

--- a/daemon/src/batch/config_view.rs
+++ b/daemon/src/batch/config_view.rs
@@ -29,6 +29,9 @@
 /// First deadline of the reads that detect the return of an unreachable store; each failure doubles
 /// it up to [`READ_DEADLINE`]. A healthy store answers in far less time.
 const PROBE_DEADLINE: Duration = Duration::from_millis(300);
+/// Number of watches that fail in a row after which the keys are listed: the answer to a watch from
+/// the same revision may be too long every time.
+const MAX_FAILED_WATCHES: u32 = 2;
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -226,6 +229,7 @@
 /// Watches the operators' keys for as long as the process runs, and applies each change.
 pub async fn follow(view: Arc<View>, store: Store) {
     let mut revision_seen: Option<u64> = None;
+    let mut failed_watches = 0;
     loop {
         let sent_at = clock::boot();
         let outcome = match revision_seen {
@@ -254,11 +258,16 @@
                     view.confirm(sent_at);
                 }
                 revision_seen = next;
+                failed_watches = 0;
             }
             Err(error) => {
                 log::warn!("event=store-lost cause={}", Value(&error.to_string()));
                 time::sleep(PAUSE).await;
                 wait_for_store(&view, &store).await;
+                failed_watches += 1;
+                if MAX_FAILED_WATCHES <= failed_watches {
+                    revision_seen = None;
+                }
             }
         }
     }
--- a/daemon/src/batch/follow.rs
+++ b/daemon/src/batch/follow.rs
@@ -36,6 +36,9 @@
 
 /// Longest wait of one watch; a dead connection is detected after this time.
 const WATCH_WAIT: Duration = Duration::from_millis(3000);
+/// Number of watches that fail in a row after which the keys are listed: the answer to a watch from
+/// the same revision may be too long every time.
+const MAX_FAILED_WATCHES: u32 = 3;
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Longest long poll at an agent.
@@ -46,27 +49,39 @@
 /// Watches the jobs' records from a revision on, and loads each changed one.
 pub async fn jobs(entry: Arc<Entry>, planner: Arc<Planner>, mut revision: u64) {
     loop {
-        match entry.store.watch(keys::JOBS, revision, WATCH_WAIT).await {
+        watch(&entry, keys::JOBS, revision, |item| load_item(&planner, item)).await;
+        let (items, at) = record_reader::list(&entry, keys::JOBS).await;
+        items.iter().for_each(|item| load_item(&planner, item));
+        revision = at;
+    }
+}
+
+/// Watches the keys of a prefix from a revision on, and applies each item that is written, until the
+/// keys have to be listed.
+async fn watch(entry: &Entry, prefix: &str, mut revision: u64, mut apply: impl FnMut(&Item)) {
+    let mut failed_watches = 0;
+    while failed_watches < MAX_FAILED_WATCHES {
+        match entry.store.watch(prefix, revision, WATCH_WAIT).await {
             Ok(WatchOutcome::Events(events, at)) => {
-                revision = at;
+                (revision, failed_watches) = (at, 0);
                 for event in &events {
                     if let Event::Put(item) = event {
-                        load_item(&planner, item);
+                        apply(item);
                     }
                 }
             }
             Ok(WatchOutcome::Compacted) => {
-                log::info!("event=watch-compacted prefix={}", keys::JOBS);
-                let (items, at) = record_reader::list(&entry, keys::JOBS).await;
-                items.iter().for_each(|item| load_item(&planner, item));
-                revision = at;
+                log::info!("event=watch-compacted prefix={prefix}");
+                return;
             }
             Err(error) => {
+                failed_watches += 1;
                 log::debug!("event=watch-failed cause={}", Value(&error.to_string()));
                 time::sleep(PAUSE).await;
             }
         }
     }
+    log::info!("event=watch-given-up prefix={prefix}");
 }
 
 fn load_item(planner: &Planner, item: &Item) {
@@ -99,25 +114,12 @@
 pub async fn agents(entry: Arc<Entry>, planner: Arc<Planner>, term: Arc<Term>) {
     let mut polls: HashMap<String, (String, AbortOnDrop)> = HashMap::new();
     loop {
-        let (items, mut revision) = record_reader::list(&entry, keys::AGENTS).await;
+        let (items, revision) = record_reader::list(&entry, keys::AGENTS).await;
         items.iter().for_each(|item| start_polling(&planner, &term, &mut polls, item));
-        loop {
-            match entry.store.watch(keys::AGENTS, revision, WATCH_WAIT).await {
-                Ok(WatchOutcome::Events(events, at)) => {
-                    revision = at;
-                    for event in &events {
-                        if let Event::Put(item) = event {
-                            start_polling(&planner, &term, &mut polls, item);
-                        }
-                    }
-                }
-                Ok(WatchOutcome::Compacted) => break,
-                Err(error) => {
-                    log::debug!("event=watch-failed cause={}", Value(&error.to_string()));
-                    time::sleep(PAUSE).await;
-                }
-            }
-        }
+        watch(&entry, keys::AGENTS, revision, |item| {
+            start_polling(&planner, &term, &mut polls, item);
+        })
+        .await;
     }
 }
 
