batch orders: calls to an agent are limited, and so are the starts at its worker

Callers saw: a job of 3,000 small tasks with a payload of 4,000 bytes, accepted with 200, did not complete while its worker was idle; no task ran for seconds at a time.

Cause: all orders for one agent went out in one call. It had 12 MB here, an agent accepts 8 MiB, and the planner took the refusal (400) for doubt.

Change: a call has at most 64 orders and 1 MiB, and an agent at most 32 starts in progress.

--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -29,6 +29,7 @@
 use lavendergauge_platform::store::Transaction;
 use lavendergauge_platform::worker::Worker;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time;
@@ -57,6 +58,9 @@
 
 /// Maximum number of concurrent connections to one listener.
 const CONNECTIONS: usize = 512;
+/// Most starts in progress at the worker. More of them would delay one another, and polls and stops,
+/// beyond their deadlines.
+const MAX_STARTS: usize = 32;
 /// Time by which a lease is shortened to allow for the duration of calls, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 50;
 /// Deadline of the call that registers the agent in the store.
@@ -93,6 +97,8 @@
     pub version: watch::Sender<u64>,
     /// Interrupts a long poll at the worker.
     pub wake: Notify,
+    /// Permits for starts in progress at the worker.
+    pub starts: Semaphore,
     state: Mutex<State>,
 }
 
@@ -227,6 +233,7 @@
             .map(|address| Advisor::new(address)),
         version: watch::Sender::new(1),
         wake: Notify::new(),
+        starts: Semaphore::new(MAX_STARTS),
         state: Mutex::new(State {
             fence: 0,
             planner: String::new(),
--- a/daemon/src/batch/agent_order.rs
+++ b/daemon/src/batch/agent_order.rs
@@ -85,6 +85,12 @@
     expires: u64,
     capacity: Resources,
 ) -> Answer {
+    let Ok(_permit) = agent.starts.acquire().await else {
+        return Answer::Refused("agent-stopping".to_owned());
+    };
+    if fence < agent.state().fence {
+        return Answer::Refused("superseded".to_owned());
+    }
     let (id, ready) = match find_worker(agent, order) {
         Ok(found) => found,
         Err(Answer::Unknown) => return Answer::Refused("worker-unknown".to_owned()),
--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -18,6 +18,7 @@
 use lavendergauge_lib::batch::order;
 use lavendergauge_lib::batch::order::Answer;
 use lavendergauge_lib::batch::order::Order;
+use lavendergauge_lib::batch::order::Verb;
 use lavendergauge_lib::batch::records;
 use lavendergauge_lib::batch::table::Tables;
 use lavendergauge_lib::batch::table::Worker;
@@ -58,6 +59,13 @@
 /// Rest after a tick as a multiple of its duration, which bounds the processor's share that ticks
 /// take from renewals of the lease and from answers to callers.
 const TICK_REST_FACTOR: u32 = 2;
+/// Length of the orders in one call from which the next one goes into another call, in bytes; agents
+/// accept calls of a few megabytes.
+const MAX_CALL_BYTES: usize = 1 << 20;
+/// Most orders in one call, so that its answer does not wait for too many calls to the worker.
+const MAX_CALL_ORDERS: usize = 64;
+/// Length of an order beside its texts, in bytes.
+const ORDER_FRAME_BYTES: usize = 256;
 /// Deadline of an order: the agent's own deadline at its worker plus the round trip to the agent.
 const ORDER_DEADLINE: Duration = Duration::from_millis(1500);
 /// Time since a worker's last answer after which its agent is not used to query the advice service.
@@ -242,16 +250,40 @@
     (dispatches, questions)
 }
 
-/// Sends orders in the background, in one call per agent.
+/// Sends orders in the background, in as few calls per agent as [`MAX_CALL_ORDERS`] and
+/// [`MAX_CALL_BYTES`] allow.
 pub fn send(planner: &Arc<Planner>, term: &Arc<Term>, dispatches: Vec<Dispatch>) {
-    let mut by_node: HashMap<String, Vec<Dispatch>> = HashMap::new();
-    for dispatch in dispatches {
-        by_node.entry(dispatch.node.clone()).or_default().push(dispatch);
-    }
-    for (node, dispatches) in by_node {
+    // The orders for each agent that are not sent yet, and their length.
+    let mut by_node: HashMap<String, (Vec<Dispatch>, usize)> = HashMap::new();
+    let spawn = |node: String, dispatches: Vec<Dispatch>| {
         let (planner, term) = (planner.clone(), term.clone());
         tokio::spawn(async move { deliver(&planner, &term, &node, dispatches).await });
+    };
+    for dispatch in dispatches {
+        let (pending, bytes) = by_node.entry(dispatch.node.clone()).or_default();
+        let length = order_bytes(&dispatch.order);
+        let is_full = pending.len() == MAX_CALL_ORDERS || MAX_CALL_BYTES < *bytes + length;
+        if !pending.is_empty() && is_full {
+            spawn(dispatch.node.clone(), std::mem::take(pending));
+            *bytes = 0;
+        }
+        *bytes += length;
+        pending.push(dispatch);
     }
+    for (node, (dispatches, _)) in by_node {
+        spawn(node, dispatches);
+    }
+}
+
+/// Returns the length of an order in a call, in bytes, rounded up.
+fn order_bytes(order: &Order) -> usize {
+    let texts = match &order.verb {
+        Verb::Start { payload, checkpoint, ticket, .. } => {
+            payload.len() + checkpoint.len() + ticket.len()
+        }
+        Verb::Stop | Verb::Pace(_) => 0,
+    };
+    texts + ORDER_FRAME_BYTES
 }
 
 async fn deliver(planner: &Planner, term: &Term, node: &str, dispatches: Vec<Dispatch>) {
