settings: no value is written that an entry cannot read again

Callers would have seen: where the store takes values beyond 3 MiB and the configuration allows such bodies, one job with a longer record is accepted, and the list of all records then fails at every entry (LOST).

Cause: `batch.store_value_bytes` was taken as it is, but an answer with the value in base64 may have 4 MiB. Found by asking which limits a stored value meets on its way back.

Change: the limit is 3 MiB less the frame of the answer, whatever the store takes. With 1 MiB, as in deploy/, nothing changes.

--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -6,6 +6,7 @@
 use lavendergauge_lib::batch::config::Bounds;
 use lavendergauge_lib::batch::policy::Policy;
 use lavendergauge_lib::batch::succession::Strength;
+use lavendergauge_net::client;
 use log::LevelFilter;
 
 use crate::settings_file;
@@ -14,6 +15,11 @@
 use crate::settings_key;
 use crate::settings_key::Audience;
 
+/// Length of an answer of the store beside its value, in bytes.
+const ANSWER_FRAME_BYTES: usize = 64 << 10;
+/// Longest value that an entry can read again: the store answers with it in base64.
+const MAX_VALUE_BYTES: usize = (client::MAX_RESPONSE_BYTES - ANSWER_FRAME_BYTES) / 4 * 3;
+
 /// Settings of one process.
 #[value]
 pub struct Settings {
@@ -91,7 +97,7 @@
     pub advertised_address: String,
     /// Address of the platform's store.
     pub store_address: String,
-    /// Longest value that the platform's store takes, in bytes.
+    /// Longest value that the platform's store takes and an entry can read again, in bytes.
     pub store_value_bytes: usize,
     /// Address of the platform's VM service; empty for none.
     pub machines_address: String,
@@ -346,7 +352,7 @@
         peer_address: text_of(file, "batch", "peer_address"),
         advertised_address: advertised(file),
         store_address: text_of(file, "batch", "store_address"),
-        store_value_bytes: scaled(file, "store_value_bytes", 1.0) as usize,
+        store_value_bytes: (scaled(file, "store_value_bytes", 1.0) as usize).min(MAX_VALUE_BYTES),
         machines_address: text_of(file, "batch", "machines_address"),
         bounds: Bounds {
             stop_grace_ms: scaled(file, "stop_grace_ms", 1.0),
--- a/daemon/tests/record_codec.rs
+++ b/daemon/tests/record_codec.rs
@@ -2,6 +2,8 @@
 
 use lavendergauge_daemon::batch::record_codec;
 use lavendergauge_daemon::batch::record_codec::Error;
+use lavendergauge_daemon::settings;
+use lavendergauge_daemon::settings::Role;
 use lavendergauge_lib::batch::config::Queue;
 use lavendergauge_lib::batch::job::Intent;
 use lavendergauge_lib::batch::job::Record;
@@ -13,6 +15,7 @@
 use lavendergauge_lib::batch::progress::Progress;
 use lavendergauge_lib::batch::progress::Task;
 use lavendergauge_lib::batch::progress::WorkerIncarnation;
+use lavendergauge_net::client;
 use lavendergauge_wire::codec;
 use proptest::collection::vec;
 use proptest::option;
@@ -205,3 +208,22 @@
         }
     }
 }
+
+#[test]
+fn readable_again() {
+    // Where the store takes long values, a job's record could be longer than any answer that an entry
+    // reads, and the list of all records failed with it.
+    for (allowed, taken) in [(1 << 20, Some(1 << 20)), (1 << 30, None)] {
+        let text = format!(
+            "[process]\nrole = batch-entry\nname = entry-1\ndata_centre = z-1\nopen_access = yes\n\
+             [batch]\npeer_address = 127.0.0.1:1\nstore_address = 127.0.0.1:2\n\
+             service_address = 127.0.0.1:3\nready_address = 127.0.0.1:4\nstore_value_bytes = {allowed}\n"
+        );
+        let Role::BatchEntry(role) = settings::parse(&text).expect("good settings").role else {
+            panic!("an entry")
+        };
+        let in_base64 = role.store_value_bytes.div_ceil(3) * 4;
+        assert!(in_base64 + 1024 < client::MAX_RESPONSE_BYTES, "{in_base64} bytes");
+        assert!(taken.is_none_or(|taken| taken == role.store_value_bytes));
+    }
+}
