--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -250,8 +250,7 @@
     (dispatches, questions)
 }
 
-/// Sends orders in the background, in as few calls per agent as [`MAX_CALL_ORDERS`] and
-/// [`MAX_CALL_BYTES`] allow.
+/// Sends orders in the background, in calls of limited length to each agent.
 pub fn send(planner: &Arc<Planner>, term: &Arc<Term>, dispatches: Vec<Dispatch>) {
     // The orders for each agent that are not sent yet, and their length.
     let mut by_node: HashMap<String, (Vec<Dispatch>, usize)> = HashMap::new();
