batch agent: refused polls tell the fencing token from another instance

Cause: `worker-refused` was one line for both refusals, so the users' record could not tell a worker that obeys a newer planner from an agent that polls a worker which is not there. Change: the cause in the line and in `lavendergauge_worker_polls_refused_total`; `worker-joined` and `heartbeat-late` name the worker that was known before. No logic is changed.

--- a/daemon/src/batch/agent_heartbeat.rs
+++ b/daemon/src/batch/agent_heartbeat.rs
@@ -56,11 +56,13 @@
     }
     let mut state = agent.state();
     let known_incarnation = state.worker.as_ref().map_or(0, |worker| worker.incarnation);
+    let known_id = state.worker.as_ref().map(|worker| worker.id.clone()).unwrap_or_default();
     if announcement.incarnation < known_incarnation
         || announcement.incarnation <= state.ended_incarnation
     {
         log::info!(
-            "event=heartbeat-late worker={} incarnation={} known={known_incarnation} over={}",
+            "event=heartbeat-late worker={} incarnation={} known_worker={known_id} \
+             known={known_incarnation} over={}",
             announcement.id,
             announcement.incarnation,
             state.ended_incarnation
@@ -85,8 +87,8 @@
         );
     } else {
         log::info!(
-            "event=worker-joined worker={} incarnation={} before={known_incarnation} rack={} \
-             ready={}",
+            "event=worker-joined worker={} incarnation={} known_worker={known_id} \
+             before={known_incarnation} rack={} ready={}",
             announcement.id,
             announcement.incarnation,
             announcement.rack,
--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -8,7 +8,9 @@
 use lavendergauge_lib::batch::report::List;
 use lavendergauge_platform::Error;
 use lavendergauge_platform::worker;
+use lavendergauge_platform::worker::Poll;
 use lavendergauge_platform::worker::Snapshot;
+use metrics::counter;
 use tokio::time;
 
 use crate::batch::agent::Agent;
@@ -87,7 +89,7 @@
         }
         let Some(answer) = answer else { continue };
         match answer {
-            Ok(Some(snapshot)) => {
+            Ok(Poll::Lists(snapshot)) => {
                 if std::mem::take(&mut is_lost) {
                     log::info!("event=worker-regained worker={}", poll.id);
                     set_worker_responsive(&agent, true);
@@ -97,8 +99,17 @@
                     let _ = time::timeout(PAUSE_ENDS, agent.wake.notified()).await;
                 }
             }
-            Ok(None) => {
-                log::info!("event=worker-refused worker={} fence={}", poll.id, poll.fence);
+            Ok(refusal) => {
+                let cause = match refusal {
+                    Poll::Fenced => "fence",
+                    _ => "instance",
+                };
+                counter!("lavendergauge_worker_polls_refused_total", "cause" => cause).increment(1);
+                log::info!(
+                    "event=worker-refused worker={} fence={} cause={cause}",
+                    poll.id,
+                    poll.fence
+                );
                 time::sleep(PAUSE_FAILED).await;
             }
             Err(error) => {
@@ -128,14 +139,14 @@
     agent: &Agent,
     poll: &WorkerPoll,
     call: Call,
-    answer: Option<&Result<Option<Snapshot>, Error>>,
+    answer: Option<&Result<Poll, Error>>,
 ) {
     let leases = &mut agent.state().leases;
     match answer {
-        Some(Ok(Some(snapshot))) if snapshot.incarnation == poll.incarnation => {
+        Some(Ok(Poll::Lists(snapshot))) if snapshot.incarnation == poll.incarnation => {
             leases.confirm(call);
         }
-        Some(Ok(None)) => leases.cancel(call),
+        Some(Ok(Poll::Fenced | Poll::Gone)) => leases.cancel(call),
         Some(Err(error)) if error.has_no_effect() => leases.cancel(call),
         _ => leases.end_unanswered(call, clock::boot().0),
     }
