net: a closed port is told from other failures to connect

Cause: `Connect` stood for a connection that the peer's system refuses, which shows that no process listens, and for one that cannot be opened for any other reason, which shows nothing.

--- a/daemon/tests/faults/process_roles.rs
+++ b/daemon/tests/faults/process_roles.rs
@@ -352,7 +352,7 @@
     let mut broken = Vec::new();
     while let Some(call) = calls.join_next().await {
         match call.expect("a call") {
-            Ok(_) | Err(client::Error::Connect(_)) => {}
+            Ok(_) | Err(client::Error::Connect(_) | client::Error::NoListener(_)) => {}
             Err(error) => broken.push(error.to_string()),
         }
     }
--- a/net/src/client.rs
+++ b/net/src/client.rs
@@ -1,5 +1,6 @@
 //! A pooled HTTP client with a deadline for every call.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -36,6 +37,9 @@
     /// No connection could be opened, so the request was not sent.
     #[error("cannot connect: {0}")]
     Connect(String),
+    /// Nothing listens at the address, so the request was not sent.
+    #[error("nothing listens: {0}")]
+    NoListener(String),
     /// The deadline passed; the request may have been carried out.
     #[error("no answer within {0:?}")]
     Timeout(Duration),
@@ -66,7 +70,7 @@
     /// assert!(Error::Connect("refused".to_owned()).never_sent());
     /// ```
     pub fn never_sent(&self) -> bool {
-        matches!(self, Error::Connect(_) | Error::Malformed(_))
+        matches!(self, Error::Connect(_) | Error::NoListener(_) | Error::Malformed(_))
     }
 }
 
@@ -165,7 +169,7 @@
     /// Sends a request and returns the response with its body still streaming.
     ///
     /// # Errors
-    /// [`Error::Connect`] when the request was not sent; [`Error::Timeout`] or [`Error::Broken`]
+    /// [`Error::Connect`] or [`Error::NoListener`] when the request was not sent; [`Error::Timeout`] or [`Error::Broken`]
     /// when it is in doubt whether it was carried out.
     pub async fn send(
         &self,
@@ -178,6 +182,9 @@
         match time::timeout(deadline, self.pool.request(request)).await {
             Err(_) => Err(Error::Timeout(deadline)),
             Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() && is_refused(&error) => {
+                Err(Error::NoListener(describe(&error)))
+            }
             Ok(Err(error)) if error.is_connect() => Err(Error::Connect(describe(&error))),
             Ok(Err(error)) => Err(Error::Broken(describe(&error))),
         }
@@ -241,6 +248,20 @@
     Some(value)
 }
 
+/// Tells whether an error was caused by a connection that the peer's system has refused.
+fn is_refused(error: &dyn std::error::Error) -> bool {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        if let Some(cause) = cause.downcast_ref::<io::Error>()
+            && cause.kind() == io::ErrorKind::ConnectionRefused
+        {
+            return true;
+        }
+        source = cause.source();
+    }
+    false
+}
+
 /// Returns an error's text followed by those of its sources.
 fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
