batch agent: only the worker's own answers prove which incarnation runs

What callers saw: a task ran twice. A heartbeat of another writer with an unknown identifier and a later start reached an agent; the agent reported its worker's incarnation as ended, the planner logged `run-over ... cause="worker restarted"` and started the task elsewhere, while the worker kept the run until its lease lapsed. From then on the agent polled an identifier that was not there and dropped its worker's heartbeats as late. A leave message of anyone ended the runs in the same way, one high sequence number hid all heartbeats, and a worker that started again while the time of day was behind was never taken in.

Cause: what a message claims was taken as proof, and the order of incarnations as the order of their starts by the time of day.

Change: heartbeats and leave messages are claims (lib/src/batch/membership.rs). An agent calls the worker's address under a claimed identifier, without a lease and without an acknowledgement, and admits the incarnation that answers; only that, a refusal of the known identifier, another incarnation in an answer, or a closed port after a leave message ends the one before. Nothing that was ruled out once is ruled out for good. The planner compares incarnations for equality, since their numbers may go back, and gets the incarnations that have ended one by one. A planner of an earlier version reads the field that it knows.

--- a/daemon/src/batch.rs
+++ b/daemon/src/batch.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod advise;
 pub mod agent;
+pub mod agent_claim;
 pub mod agent_heartbeat;
 pub mod agent_order;
 pub mod agent_state;
--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -19,6 +19,7 @@
 use lavendergauge_lib::batch::crash::Ledger;
 use lavendergauge_lib::batch::lease::Call;
 use lavendergauge_lib::batch::lease::Tracker;
+use lavendergauge_lib::batch::membership::Membership;
 use lavendergauge_lib::batch::order::Answer;
 use lavendergauge_lib::batch::report::Report;
 use lavendergauge_net::body::Body;
@@ -35,6 +36,7 @@
 use tokio::time;
 
 use crate::access;
+use crate::batch::agent_claim;
 use crate::batch::agent_heartbeat;
 use crate::batch::agent_order;
 use crate::batch::agent_state::State;
@@ -97,6 +99,8 @@
     pub version: watch::Sender<u64>,
     /// Interrupts a long poll at the worker.
     pub wake: Notify,
+    /// Notified when a claim may be examined.
+    pub claimed: Notify,
     /// Permits for starts in progress at the worker.
     pub starts: Semaphore,
     state: Mutex<State>,
@@ -120,7 +124,7 @@
     pub fn begin_lease(&self, limit: Duration) -> Option<Lease> {
         let mut state = self.state();
         let reading = state.worker_clock?;
-        let id = state.worker.as_ref()?.id.clone();
+        let id = state.worker()?.id.clone();
         let now = clock::boot().0;
         let remaining = state.grant_until.checked_sub(now.saturating_add(LEASE_MARGIN_MS))?;
         let longest = self.settings.lease_max.as_millis() as u64;
@@ -156,6 +160,7 @@
             state.fence = authority.fence;
             state.planner = authority.planner.clone();
             self.wake.notify_one();
+            self.claimed.notify_one();
         }
         if authority.session == self.session {
             state.grant_until = state.grant_until.max(authority.grant);
@@ -176,10 +181,11 @@
             session: self.session,
             fence: state.fence,
             version,
-            ended_incarnation: state.ended_incarnation,
+            ended_incarnation: state.membership.ended().iter().copied().max().unwrap_or(0),
+            ended_incarnations: state.membership.ended().into(),
             is_worker_responsive: state.is_worker_responsive,
             is_stopping: state.is_stopping,
-            worker: state.worker.clone(),
+            worker: state.worker().cloned(),
             list,
             partial_list,
             stale_lease_until: state.leases.stale_until(),
@@ -233,14 +239,13 @@
             .map(|address| Advisor::new(address)),
         version: watch::Sender::new(1),
         wake: Notify::new(),
+        claimed: Notify::new(),
         starts: Semaphore::new(MAX_STARTS),
         state: Mutex::new(State {
             fence: 0,
             planner: String::new(),
             grant_until: 0,
-            worker: None,
-            heartbeat_sequence: 0,
-            ended_incarnation: 0,
+            membership: Membership::default(),
             worker_clock: None,
             leases: Tracker::new(clock::boot().0, role.lease_max.as_millis() as u64),
             leases_of: String::new(),
@@ -275,6 +280,7 @@
     listeners.spawn(server::serve(peers, handler, CONNECTIONS, stopped));
     loops.spawn(register(agent.clone()));
     loops.spawn(agent_worker::follow(agent.clone()));
+    loops.spawn(agent_claim::follow(agent.clone()));
     Ok(Handle { agent, stop, listeners, loops })
 }
 
--- a/daemon/src/batch/agent_heartbeat.rs
+++ b/daemon/src/batch/agent_heartbeat.rs
@@ -7,6 +7,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use lavendergauge_lib::batch::membership::Heard;
 use lavendergauge_net::body;
 use lavendergauge_net::body::Body;
 use lavendergauge_platform::heartbeat;
@@ -54,70 +55,34 @@
         );
         return;
     }
+    let (id, incarnation) = (announcement.id.clone(), announcement.incarnation);
     let mut state = agent.state();
-    let known_incarnation = state.worker.as_ref().map_or(0, |worker| worker.incarnation);
-    let known_id = state.worker.as_ref().map(|worker| worker.id.clone()).unwrap_or_default();
-    if announcement.incarnation < known_incarnation
-        || announcement.incarnation <= state.ended_incarnation
-    {
-        log::info!(
-            "event=heartbeat-late worker={} incarnation={} known_worker={known_id} \
-             known={known_incarnation} over={}",
-            announcement.id,
-            announcement.incarnation,
-            state.ended_incarnation
-        );
-        return;
-    }
-    if announcement.incarnation == known_incarnation {
-        if heartbeat.sequence <= state.heartbeat_sequence {
-            return;
+    match state.membership.hear(clock::boot().0, announcement, heartbeat.sequence) {
+        Heard::Nothing => {}
+        Heard::Claim => {
+            drop(state);
+            agent.claimed.notify_one();
         }
-        state.heartbeat_sequence = heartbeat.sequence;
-        if state.worker.as_ref() == Some(&announcement) {
-            return;
+        Heard::Announcement => {
+            if let Some(worker) = state.worker() {
+                log::info!(
+                    "event=worker-changed worker={id} incarnation={incarnation} ready={} \
+                     accelerators={} processors={} memory_mb={}",
+                    worker.ready,
+                    worker.accelerators,
+                    worker.processors,
+                    worker.memory_mb
+                );
+            }
+            drop(state);
+            agent.notify_planner();
         }
-        log::info!(
-            "event=worker-changed worker={} ready={} accelerators={} processors={} memory_mb={}",
-            announcement.id,
-            announcement.ready,
-            announcement.accelerators,
-            announcement.processors,
-            announcement.memory_mb
-        );
-    } else {
-        log::info!(
-            "event=worker-joined worker={} incarnation={} known_worker={known_id} \
-             before={known_incarnation} rack={} ready={}",
-            announcement.id,
-            announcement.incarnation,
-            announcement.rack,
-            announcement.ready
-        );
-        state.record_end();
-        state.note_restart(&announcement.id);
-        state.heartbeat_sequence = heartbeat.sequence;
-        state.is_worker_responsive = true;
-        agent.wake.notify_one();
     }
-    state.worker = Some(announcement);
-    drop(state);
-    agent.notify_planner();
 }
 
 fn apply_leave(agent: &Agent, id: &str, incarnation: u64) {
-    let mut state = agent.state();
-    let worker = state.worker.as_ref().filter(|worker| worker.id == id);
-    let Some(known_incarnation) = worker.map(|worker| worker.incarnation) else { return };
-    if incarnation != 0 && incarnation < known_incarnation {
-        return;
+    if agent.state().membership.hear_leave(clock::boot().0, id, incarnation) {
+        log::info!("event=worker-leaving worker={id} incarnation={incarnation}");
+        agent.wake.notify_one();
     }
-    log::info!("event=worker-left worker={id} incarnation={known_incarnation}");
-    state.ended_incarnation = state.ended_incarnation.max(known_incarnation);
-    state.ledger.clear();
-    state.worker = None;
-    state.forget_list();
-    state.worker_clock = None;
-    drop(state);
-    agent.notify_planner();
 }
--- a/daemon/src/batch/agent_order.rs
+++ b/daemon/src/batch/agent_order.rs
@@ -59,22 +59,23 @@
 /// The error is the answer to the order when that worker is not, or not known to be, on this VM.
 fn find_worker(agent: &Agent, order: &Order) -> Result<(String, bool), Answer> {
     let state = agent.state();
-    if order.incarnation <= state.ended_incarnation {
+    if state.membership.ended().contains(&order.incarnation) {
         return Err(Answer::Gone);
     }
-    match &state.worker {
+    match state.worker() {
         Some(worker) if worker.incarnation == order.incarnation => {
             Ok((worker.id.clone(), worker.ready))
         }
-        Some(worker) if order.incarnation < worker.incarnation => Err(Answer::Gone),
+        // One worker at a time uses the address.
+        Some(_) => Err(Answer::Gone),
         // This process may have started after the worker and not have received a heartbeat yet.
-        _ => Err(Answer::Unknown),
+        None => Err(Answer::Unknown),
     }
 }
 
 /// Returns the capacity that the worker announced last.
 fn announced_capacity(agent: &Agent) -> Resources {
-    agent.state().worker.as_ref().map(Announcement::capacity).unwrap_or_default()
+    agent.state().worker().map(Announcement::capacity).unwrap_or_default()
 }
 
 async fn start_run(
@@ -111,7 +112,7 @@
     let start = Start { lease_until_ms: lease.until_ms, ..start };
     agent.state().ledger.begin_start(order.task, order.run, clock::boot().0);
     let answer = agent.client.start(&id, fence, &start).await;
-    record_lease(agent, order.incarnation, lease.call, &answer);
+    record_lease(agent, &id, order.incarnation, lease.call, &answer);
     let answer = match answer.map(|answer| answer.reply) {
         Ok(Reply::Done) => Answer::Done(clock::boot().0),
         Ok(Reply::Refused(reason)) => Answer::Refused(reason),
@@ -136,6 +137,7 @@
 /// An answer of another incarnation than the order is meant for shows that the worker has restarted.
 fn record_lease(
     agent: &Agent,
+    id: &str,
     incarnation: u64,
     call: Call,
     answer: &Result<worker::Answer, Error>,
@@ -146,7 +148,8 @@
         Ok(answer) if answer.incarnation == incarnation => state.leases.confirm(call),
         Ok(answer) => {
             state.leases.end_unanswered(call, clock::boot().0);
-            if answer.incarnation != 0 && state.forget_worker(incarnation, answer.incarnation) {
+            let is_other = answer.incarnation != 0;
+            if is_other && state.end_worker(id, incarnation, "another incarnation answers") {
                 drop(state);
                 agent.notify_planner();
             }
--- a/daemon/src/batch/agent_state.rs
+++ b/daemon/src/batch/agent_state.rs
@@ -6,6 +6,8 @@
 use lavendergauge_lib::batch::crash::Ledger;
 use lavendergauge_lib::batch::lease::Reading;
 use lavendergauge_lib::batch::lease::Tracker;
+use lavendergauge_lib::batch::membership::Claim;
+use lavendergauge_lib::batch::membership::Membership;
 use lavendergauge_lib::batch::report::Announcement;
 use lavendergauge_lib::batch::report::List;
 
@@ -24,12 +26,8 @@
     pub planner: String,
     /// Time of this process's clock until which tasks may run, in milliseconds.
     pub grant_until: u64,
-    /// The worker's last announcement; `None` while there is no worker.
-    pub worker: Option<Announcement>,
-    /// Sequence number of the worker's newest heartbeat.
-    pub heartbeat_sequence: u64,
-    /// Newest incarnation of the worker that has ended.
-    pub ended_incarnation: u64,
+    /// Which worker runs on the VM.
+    pub membership: Membership,
     /// The newest reading of the worker's clock; `None` when another incarnation may run by now.
     pub worker_clock: Option<Reading>,
     /// The calls that extend the worker's lease.
@@ -64,9 +62,14 @@
         self.crashes.retain(|crash| now < crash.noticed_at + CRASH_MEMORY_MS);
     }
 
+    /// Returns the worker that was proved to run; `None` while none is known.
+    pub fn worker(&self) -> Option<&Announcement> {
+        self.membership.worker()
+    }
+
     /// Notes that the worker has restarted: its next incarnation may hold a lease by the clock of
     /// the present one.
-    pub fn note_restart(&mut self, id: &str) {
+    fn note_restart(&mut self, id: &str) {
         if self.leases_of == id {
             self.leases.restart();
         }
@@ -82,27 +85,39 @@
         self.last_readable_end = None;
     }
 
-    /// Forgets the worker when the incarnation `found` answers in place of the one that is `known`;
-    /// tells whether it did. The next heartbeat announces the new incarnation.
-    pub fn forget_worker(&mut self, known: u64, found: u64) -> bool {
-        let worker = self.worker.as_ref().filter(|worker| worker.incarnation == known);
-        let Some(id) = worker.filter(|_| known != found).map(|worker| worker.id.clone()) else {
-            return false;
-        };
-        log::info!("event=worker-restarted worker={id} incarnation={found} known={known}");
-        self.record_end();
+    /// Applies the proof that a claimed incarnation runs, which was read from the answer at its
+    /// address: the one before has ended.
+    pub fn admit(&mut self, claim: Claim, clock: Reading) {
+        let (id, incarnation) = (claim.announcement.id.clone(), claim.announcement.incarnation);
+        let before = self.membership.admit(claim);
+        log::info!(
+            "event=worker-joined worker={id} incarnation={incarnation} known_worker={} before={}",
+            before.as_ref().map_or("", |worker| &worker.id),
+            before.as_ref().map_or(0, |worker| worker.incarnation)
+        );
+        if let Some(before) = before {
+            self.record_end(&before, false);
+        }
         self.note_restart(&id);
-        self.worker = None;
+        self.worker_clock = Some(clock);
+        self.is_worker_responsive = true;
+    }
+
+    /// Applies a proof that an incarnation does not run; tells whether it was the one that is known to.
+    pub fn end_worker(&mut self, id: &str, incarnation: u64, cause: &str) -> bool {
+        let is_leaving = self.membership.is_leaving(clock::boot().0);
+        let Some(worker) = self.membership.end(id, incarnation) else { return false };
+        log::info!("event=worker-ended worker={id} incarnation={incarnation} cause=\"{cause}\"");
+        self.record_end(&worker, is_leaving);
+        self.note_restart(id);
         true
     }
 
-    /// Records that the worker's present incarnation has ended without a leave message.
+    /// Records the end of an incarnation.
     ///
     /// A worker that had announced to leave has not crashed: it also ends when its message is lost.
-    pub fn record_end(&mut self) {
-        let Some(worker) = &self.worker else { return };
-        self.ended_incarnation = self.ended_incarnation.max(worker.incarnation);
-        if !worker.ready {
+    fn record_end(&mut self, worker: &Announcement, is_leaving: bool) {
+        if !worker.ready || is_leaving {
             self.ledger.clear();
             return;
         }
--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -25,6 +25,8 @@
 const PAUSE_UNKNOWN: Duration = Duration::from_millis(400);
 /// Pause after a call that failed.
 const PAUSE_FAILED: Duration = Duration::from_millis(250);
+/// Pause between calls to a worker that has said that it leaves.
+const PAUSE_LEAVING: Duration = Duration::from_millis(30);
 /// Shortest interval of calls while ended runs are not yet recorded.
 const PAUSE_ENDS: Duration = Duration::from_millis(60);
 
@@ -37,16 +39,20 @@
     wait: Duration,
     has_unrecorded_ends: bool,
     has_new_orders: bool,
+    is_leaving: bool,
 }
 
 fn next_poll(agent: &Agent) -> Option<WorkerPoll> {
     let mut state = agent.state();
     let has_new_orders = std::mem::take(&mut state.has_new_orders);
-    let worker = state.worker.as_ref().filter(|_| state.fence != 0)?;
+    let worker = state.worker().filter(|_| state.fence != 0)?;
     let (incarnation, number) = state.forgettable_ends;
     let number = number.min(state.last_readable_end.unwrap_or(u64::MAX));
     let list = state.list.as_ref();
+    let is_leaving = state.membership.is_leaving(clock::boot().0);
     let wait = match list {
+        // Whether it still answers is to be known soon.
+        _ if is_leaving => Duration::ZERO,
         // The first poll must return at once: it reads the worker's clock.
         None => Duration::ZERO,
         Some(_) if state.worker_clock.is_none() => Duration::ZERO,
@@ -64,6 +70,7 @@
         wait,
         has_unrecorded_ends: list.is_some_and(|list| !list.ends.is_empty()),
         has_new_orders,
+        is_leaving,
     })
 }
 
@@ -95,6 +102,9 @@
                     set_worker_responsive(&agent, true);
                 }
                 apply_snapshot(&agent, &poll, sent_at, snapshot);
+                if poll.is_leaving {
+                    time::sleep(PAUSE_LEAVING).await;
+                }
                 if poll.has_unrecorded_ends {
                     let _ = time::timeout(PAUSE_ENDS, agent.wake.notified()).await;
                 }
@@ -110,7 +120,11 @@
                     poll.id,
                     poll.fence
                 );
-                time::sleep(PAUSE_FAILED).await;
+                if refusal == Poll::Gone {
+                    end_worker(&agent, &poll, "another worker answers at its address");
+                } else {
+                    time::sleep(PAUSE_FAILED).await;
+                }
             }
             Err(error) => {
                 {
@@ -127,7 +141,13 @@
                     log::warn!("event=worker-lost worker={} cause={}", poll.id, Value(&cause));
                     set_worker_responsive(&agent, false);
                 }
-                time::sleep(PAUSE_FAILED).await;
+                if !poll.is_leaving {
+                    time::sleep(PAUSE_FAILED).await;
+                } else if matches!(error, Error::NoListener(_)) {
+                    end_worker(&agent, &poll, "it has left");
+                } else {
+                    time::sleep(PAUSE_LEAVING).await;
+                }
             }
         }
     }
@@ -152,6 +172,14 @@
     }
 }
 
+/// Applies a proof that the polled incarnation does not run.
+fn end_worker(agent: &Agent, poll: &WorkerPoll, cause: &str) {
+    if agent.state().end_worker(&poll.id, poll.incarnation, cause) {
+        agent.claimed.notify_one();
+        agent.notify_planner();
+    }
+}
+
 /// Sets whether the worker answers; the planner assigns no new work to a worker that does not.
 fn set_worker_responsive(agent: &Agent, is_responsive: bool) {
     agent.state().is_worker_responsive = is_responsive;
@@ -160,14 +188,14 @@
 
 fn apply_snapshot(agent: &Agent, poll: &WorkerPoll, sent_at: u64, snapshot: Snapshot) {
     let mut state = agent.state();
-    let is_current =
-        state.worker.as_ref().is_some_and(|worker| worker.incarnation == poll.incarnation);
+    let is_current = state.membership.is_running(&poll.id, poll.incarnation);
     if !is_current || state.fence != poll.fence {
         return;
     }
     if snapshot.incarnation != 0 && snapshot.incarnation != poll.incarnation {
-        state.forget_worker(poll.incarnation, snapshot.incarnation);
+        state.end_worker(&poll.id, poll.incarnation, "another incarnation answers");
         drop(state);
+        agent.claimed.notify_one();
         agent.notify_planner();
         return;
     }
--- a/lib/benches/batch_scale.rs
+++ b/lib/benches/batch_scale.rs
@@ -27,6 +27,7 @@
 use lavendergauge_lib::batch::table::Tables;
 use lavendergauge_lib::batch::tick;
 use lavendergauge_lib::clock::Millis;
+use smallvec::SmallVec;
 
 /// Number of ticks that are timed.
 const TICKS: usize = 2000;
@@ -171,6 +172,7 @@
             fence: FENCE,
             version: 1,
             ended_incarnation: 0,
+            ended_incarnations: SmallVec::new(),
             is_worker_responsive: true,
             is_stopping: false,
             stale_lease_until: 0,
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -22,6 +22,7 @@
 pub mod job;
 pub mod learned;
 pub mod lease;
+pub mod membership;
 pub mod observe;
 pub mod occupancy;
 pub mod omission;
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -36,9 +36,8 @@
     strike::apply_crashes(tables, now, key, report, &mut changes);
     apply_announcement(tables, now, key, report, &mut changes);
     if report.ended_incarnation != 0 {
-        let ended_incarnation = report.ended_incarnation;
         let has_ended = |run: &table::Run| {
-            run.incarnation <= ended_incarnation && (run.seen_at.is_some() || run.is_inherited())
+            report.has_ended(run.incarnation) && (run.seen_at.is_some() || run.is_inherited())
         };
         end_runs_where(tables, now, key, &mut changes, "worker has ended", has_ended);
     }
@@ -126,9 +125,6 @@
         }
         return;
     };
-    if announcement.incarnation < worker.incarnation {
-        return;
-    }
     let has_new_incarnation = worker.incarnation != announcement.incarnation;
     if has_new_incarnation {
         worker.newest_end_seen = 0;
@@ -169,7 +165,7 @@
     }
     if has_new_incarnation {
         let incarnation = announcement.incarnation;
-        let ended = |run: &table::Run| run.incarnation < incarnation && run.seen_at.is_some();
+        let ended = |run: &table::Run| run.incarnation != incarnation && run.seen_at.is_some();
         end_runs_where(tables, now, key, changes, "worker restarted", ended);
         carry_over(tables, key, incarnation);
     }
@@ -185,7 +181,7 @@
 fn carry_over(tables: &mut Tables, key: key::Worker, incarnation: u64) {
     for run_key in tables.workers[key].runs.clone() {
         let Some(run) = tables.runs.get_mut(run_key) else { continue };
-        if run.phase == Phase::Planned || incarnation <= run.incarnation {
+        if run.phase == Phase::Planned || run.incarnation == incarnation {
             continue;
         }
         run.incarnation = incarnation;
--- a/lib/src/batch/report.rs
+++ b/lib/src/batch/report.rs
@@ -3,6 +3,7 @@
 use lavendergauge_derive::value;
 use serde::Deserialize;
 use serde::Serialize;
+use smallvec::SmallVec;
 
 use crate::batch::crash::Crash;
 use crate::batch::job::Task;
@@ -143,9 +144,13 @@
     pub fence: u64,
     /// Version of the fields below; grows with each change of them.
     pub version: u64,
-    /// Newest incarnation of the worker that has certainly ended; 0 for none.
+    /// Newest incarnation of the worker that has certainly ended, with all before it; 0 for none. Only
+    /// an earlier version needs it, which does not know [`Report::ended_incarnations`].
     #[serde(rename = "over")]
     pub ended_incarnation: u64,
+    /// The newest incarnations that have certainly ended.
+    #[serde(default, rename = "ended")]
+    pub ended_incarnations: SmallVec<[u64; 8]>,
     /// Whether the worker answered the agent's last call.
     #[serde(rename = "answers")]
     pub is_worker_responsive: bool,
@@ -168,3 +173,13 @@
     #[serde(default)]
     pub crashes: Vec<Crash>,
 }
+
+impl Report {
+    /// Tells whether an incarnation of the worker has certainly ended.
+    pub fn has_ended(&self, incarnation: u64) -> bool {
+        if self.ended_incarnations.is_empty() {
+            return incarnation <= self.ended_incarnation;
+        }
+        self.ended_incarnations.contains(&incarnation)
+    }
+}
--- a/lib/src/batch/strike.rs
+++ b/lib/src/batch/strike.rs
@@ -46,6 +46,9 @@
 const COMMON_CAUSE_WORKERS: usize = 3;
 /// Time for which a crash is remembered. Workers that crash together may return seconds apart.
 const MEMORY: Duration = Duration::from_secs(30);
+/// Maximum number of a worker's incarnations whose crashes are remembered as applied; more than an
+/// agent reports.
+const MAX_CRASHED: usize = 8;
 /// Maximum number of crashes that are remembered.
 const MAX_INCIDENTS: usize = 64;
 
@@ -167,10 +170,13 @@
 ) {
     for crash in &report.crashes {
         let worker = &mut tables.workers[key];
-        if crash.incarnation <= worker.crashed_incarnation {
+        if worker.crashed_incarnations.contains(&crash.incarnation) {
             continue;
         }
-        worker.crashed_incarnation = crash.incarnation;
+        if worker.crashed_incarnations.len() == MAX_CRASHED {
+            worker.crashed_incarnations.remove(0);
+        }
+        worker.crashed_incarnations.push(crash.incarnation);
         let node = worker.node.clone();
         let incident = Incident::new(now, key, report, crash);
         let runs = one_for_each_task(crash);
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -355,8 +355,8 @@
 pub struct Worker {
     /// Name of the agent.
     pub node: String,
-    /// Newest incarnation whose crash was applied; 0 for none.
-    pub crashed_incarnation: u64,
+    /// The newest incarnations whose crashes were applied, the oldest first.
+    pub crashed_incarnations: SmallVec<[u64; 8]>,
     /// Job whose tasks may crash it; it takes no work of others.
     pub quarantine: Option<Id>,
     /// The worker's identifier; empty while unknown.
@@ -787,7 +787,7 @@
         }
         let key = self.workers.insert(Worker {
             node: node.to_owned(),
-            crashed_incarnation: 0,
+            crashed_incarnations: SmallVec::new(),
             quarantine: None,
             id: String::new(),
             incarnation: 0,
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -44,6 +44,7 @@
 use lavendergauge_lib::batch::table::Tables;
 use lavendergauge_lib::batch::tick;
 use lavendergauge_lib::clock::Millis;
+use smallvec::SmallVec;
 
 /// Length of one step of the simulation, in milliseconds.
 pub const STEP_MS: u64 = 20;
@@ -550,6 +551,7 @@
             fence: worker.fence,
             version: 0,
             ended_incarnation: 0,
+            ended_incarnations: SmallVec::new(),
             is_worker_responsive: worker.is_responsive && !is_down,
             is_stopping: false,
             worker: Some(announcement),
