batch agent: a worker that leaves during a call is examined at once

Cause: whether the worker leaves was read before the call that its end breaks off, so the next call came 250 ms later. Change: read after the call. Result: worker_proof::leave_believed passes.

--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -141,7 +141,8 @@
                     log::warn!("event=worker-lost worker={} cause={}", poll.id, Value(&cause));
                     set_worker_responsive(&agent, false);
                 }
-                if !poll.is_leaving {
+                // The leave message may have arrived during the call.
+                if !agent.state().membership.is_leaving(clock::boot().0) {
                     time::sleep(PAUSE_FAILED).await;
                 } else if matches!(error, Error::NoListener(_)) {
                     end_worker(&agent, &poll, "it has left");
