batch maintenance: no order after the planner's lease, however late it is written

Seen in review by reading, not run there: a planner that was suspended between two orders of one wave called the VM service with its old fencing token as it woke. Where require_fence is false, that breaks ONE (a lower fence after a higher one) if a newer planner has ordered the same VM meanwhile.

Cause: the orders of a wave are given one after the other, and nothing was checked after the write of the wave's record, which comes before the first of them. Each order can wait 1.5 s for its answer, and longer for the process, without the planner knowing that its lease is over; it may keep the role for 8 s after that to give grants, which agents fence and the VM service may not.

Change: leadership::Lease tells as a function of time what a leader may do: give orders to the platform only while its lease is certainly valid (1.4 s from the call that confirmed it), by the clock that counts suspensions, and grants for 8 s more as before. The lease is checked in the step in which the order is written to its open connection: the request's body (body::guarded) is read there, and of a request whose body is withheld nothing is sent. A wave's orders end when the lease does; the next planner gives them again.

Read with the same question: orders and grants to agents (grants are times of the agent's clock, fences are checked), leases to workers, starts in the agent (fence, order's end and grant are checked after the wait for a permit), and all writes to the store (conditional on the leader's key or the configuration). None has the same cause. Not covered: bytes that a cut link holds back after they were written.

--- a/daemon/src/batch/leader.rs
+++ b/daemon/src/batch/leader.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use lavendergauge_derive::value;
+use lavendergauge_lib::batch::leadership;
+use lavendergauge_lib::batch::leadership::Lease;
 use lavendergauge_lib::batch::succession;
 use lavendergauge_lib::batch::succession::Peer;
-use lavendergauge_lib::batch::table;
 use lavendergauge_lib::clock::Millis;
 use lavendergauge_platform::Error;
 use lavendergauge_platform::store::CommitOutcome;
@@ -33,12 +34,6 @@
 use crate::clock;
 use crate::logs::Value;
 
-/// Lease of the leader: the time without a planner after the leader's VM stopped responding.
-///
-/// It can still be renewed when the store takes half a second for each answer.
-const LEASE: Duration = Duration::from_millis(1500);
-/// Safety margin at the end of the lease on which the leader does not rely.
-const LEASE_MARGIN: Duration = Duration::from_millis(100);
 /// Interval of renewals.
 const RENEW_INTERVAL: Duration = Duration::from_millis(400);
 /// Deadline of a renewal.
@@ -86,23 +81,31 @@
     /// Notified when a write of the planner failed, so that the lease is renewed at once.
     pub store_failed: Notify,
     lease: u64,
-    /// Time until which the lease is certainly valid, in milliseconds.
+    /// [`Lease::valid_until`], in milliseconds.
     lease_valid_until: AtomicU64,
 }
 
 impl Term {
-    /// Tells whether the planner may still give grants, by which workers' tasks keep running.
-    ///
-    /// It may for a while after its last confirmed lease, see [`table::GRANT_AFTER_LEASE`].
+    /// Tells whether the planner may still give grants, see [`Lease::can_grant`].
     pub fn can_grant(&self) -> bool {
-        clock::boot()
-            < Millis(self.lease_valid_until.load(Ordering::Relaxed)) + table::GRANT_AFTER_LEASE
+        self.lease().can_grant(clock::boot())
+    }
+
+    /// Tells whether the planner may still give orders to the platform, see [`Lease::can_order`].
+    ///
+    /// Check it after the last wait before an order is sent.
+    pub fn can_order(&self) -> bool {
+        self.lease().can_order(clock::boot())
+    }
+
+    fn lease(&self) -> Lease {
+        Lease { valid_until: Millis(self.lease_valid_until.load(Ordering::Relaxed)) }
     }
 
     /// Extends the validity of the lease by a grant or renewal that was sent at `sent_at`.
     fn confirm_lease(&self, sent_at: Millis) {
-        let until = sent_at + (LEASE - LEASE_MARGIN);
-        self.lease_valid_until.store(until.0, Ordering::Relaxed);
+        let lease = Lease::confirmed(sent_at);
+        self.lease_valid_until.store(lease.valid_until.0, Ordering::Relaxed);
     }
 }
 
@@ -226,7 +229,7 @@
 /// Tries to acquire leadership; `None` when another entry was faster.
 async fn acquire(entry: &Entry) -> Result<Option<Term>, Error> {
     let sent_at = clock::boot();
-    let lease = entry.store.grant(LEASE, DEADLINE).await?;
+    let lease = entry.store.grant(leadership::LEASE, DEADLINE).await?;
     let leader = Leader {
         name: entry.name.clone(),
         address: entry.settings.advertised_address.clone(),
--- a/daemon/src/batch/maintenance.rs
+++ b/daemon/src/batch/maintenance.rs
@@ -15,6 +15,7 @@
 use lavendergauge_lib::batch::wave::Step;
 use lavendergauge_lib::batch::wave::Wave;
 use lavendergauge_platform::Error;
+use lavendergauge_platform::machine::Holder;
 use lavendergauge_platform::machine::Machines;
 use lavendergauge_platform::machine::Reply;
 use lavendergauge_platform::operator;
@@ -72,7 +73,7 @@
 async fn advance(
     entry: &Entry,
     planner: &Planner,
-    term: &Term,
+    term: &Arc<Term>,
     service: &Machines,
     wave: &Wave,
     stored_records: &mut BTreeMap<u64, StoredRecord>,
@@ -113,7 +114,13 @@
             write_record(entry, term, wave.number, stored).await?;
             let mut failure = None;
             for name in names {
-                let ordered = service.maintain(&entry.name, term.fence, &name, wave.number).await;
+                if !term.can_order() {
+                    return Err(Error::Unsent("the lease may have ended".to_owned()));
+                }
+                let holder = Holder { name: &entry.name, fencing_token: term.fence };
+                let shared = term.clone();
+                let ordered =
+                    service.maintain(holder, &name, wave.number, move || shared.can_order()).await;
                 log::info!(
                     "event=maintenance-ordered wave={} machine={name} fence={} outcome={ordered:?}",
                     wave.number,
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -20,6 +20,7 @@
 pub mod health;
 pub mod hold;
 pub mod job;
+pub mod leadership;
 pub mod learned;
 pub mod lease;
 pub mod observe;
--- a/net/src/body.rs
+++ b/net/src/body.rs
@@ -15,6 +15,7 @@
 use hyper::HeaderMap;
 use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
+use hyper::body::SizeHint;
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -36,6 +37,60 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed()
 }
 
+/// The sender's permission had ended before the body was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the permission to send it had ended")]
+pub struct Withheld;
+
+/// Makes a body from bytes in memory that fails with [`Withheld`] unless `is_permitted` returns true when
+/// it is read.
+///
+/// A client reads a request's body once its connection is open, in the step in which it writes the
+/// request, so that no wait comes after the check, and nothing of a withheld request is sent.
+///
+/// ```
+/// use lavendergauge_net::body;
+/// let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+/// let withheld = body::collect(body::guarded("order", || false), 16);
+/// assert!(runtime.block_on(withheld).unwrap_err().is::<body::Withheld>());
+/// ```
+pub fn guarded(
+    bytes: impl Into<Bytes>,
+    is_permitted: impl Fn() -> bool + Send + Sync + 'static,
+) -> Body {
+    Guarded { bytes: Some(bytes.into()), is_permitted: Box::new(is_permitted) }.boxed()
+}
+
+/// Body of [`guarded`].
+struct Guarded {
+    /// The bytes, until they are read.
+    bytes: Option<Bytes>,
+    is_permitted: Box<dyn Fn() -> bool + Send + Sync>,
+}
+
+impl HttpBody for Guarded {
+    type Data = Bytes;
+    type Error = Cause;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cause>>> {
+        let Some(bytes) = self.bytes.take() else { return Poll::Ready(None) };
+        let frame =
+            if (self.is_permitted)() { Ok(Frame::data(bytes)) } else { Err(Withheld.into()) };
+        Poll::Ready(Some(frame))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+    }
+}
+
 /// Makes a body without bytes.
 ///
 /// ```
--- a/net/src/client.rs
+++ b/net/src/client.rs
@@ -1,5 +1,6 @@
 //! A pooled HTTP client with a deadline for every call.
 
+use std::iter;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -36,6 +37,9 @@
     /// No connection could be opened, so the request was not sent.
     #[error("cannot connect: {0}")]
     Connect(String),
+    /// The permission to send the request had ended when it was to be written, see [`body::guarded`].
+    #[error("withheld: {0}")]
+    Withheld(body::Withheld),
     /// The deadline passed; the request may have been carried out.
     #[error("no answer within {0:?}")]
     Timeout(Duration),
@@ -66,7 +70,7 @@
     /// assert!(Error::Connect("refused".to_owned()).never_sent());
     /// ```
     pub fn never_sent(&self) -> bool {
-        matches!(self, Error::Connect(_) | Error::Malformed(_))
+        matches!(self, Error::Connect(_) | Error::Withheld(_) | Error::Malformed(_))
     }
 }
 
@@ -165,8 +169,8 @@
     /// Sends a request and returns the response with its body still streaming.
     ///
     /// # Errors
-    /// [`Error::Connect`] when the request was not sent; [`Error::Timeout`] or [`Error::Broken`]
-    /// when it is in doubt whether it was carried out.
+    /// [`Error::Connect`] or [`Error::Withheld`] when the request was not sent; [`Error::Timeout`] or
+    /// [`Error::Broken`] when it is in doubt whether it was carried out.
     pub async fn send(
         &self,
         mut request: Request<Body>,
@@ -179,7 +183,10 @@
             Err(_) => Err(Error::Timeout(deadline)),
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if error.is_connect() => Err(Error::Connect(describe(&error))),
-            Ok(Err(error)) => Err(Error::Broken(describe(&error))),
+            Ok(Err(error)) => match withheld(&error) {
+                Some(withheld) => Err(Error::Withheld(withheld)),
+                None => Err(Error::Broken(describe(&error))),
+            },
         }
     }
 
@@ -241,6 +248,12 @@
     Some(value)
 }
 
+/// Finds the error of a request's body that was withheld among an error's sources.
+fn withheld(error: &(dyn std::error::Error + 'static)) -> Option<body::Withheld> {
+    iter::successors(Some(error), |error| error.source())
+        .find_map(|error| error.downcast_ref().copied())
+}
+
 /// Returns an error's text followed by those of its sources.
 fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
