batch ingress: a public queue opens only its own jobs to calls without a key

Callers saw: over a queue that is public, a call without a key read and cancelled any client account's job whose identifier it knew, and a submission under that identifier was answered 200 as a repetition.

Cause: check_owner admitted every call over a public queue, whatever queue the job had been submitted to.

Change: access::is_allowed decides by the queue and account of the call and of the submission. An account accesses its jobs over any queue, as before. Without its key a job is accessed over its own queue while that is public; a queue that was renamed, or moved to another prefix, is the same one, also when it became public after the submission. A job without an account whose queue is gone is accessed over any public queue, since callers of a replaced queue have no key to show. Other calls get 403, as between accounts. The planner's answer about a job names the host and prefix of its queue too; with a planner of an earlier version a renamed queue is told by its name only.

Ruled out: 410 for such calls (an accepted job answered 410 is lost to its caller if the rule is read differently; 403 is what another account gets).

--- a/daemon/src/batch/ingress.rs
+++ b/daemon/src/batch/ingress.rs
@@ -14,6 +14,9 @@
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::header::HOST;
+use lavendergauge_lib::batch::access;
+use lavendergauge_lib::batch::access::Origin;
+use lavendergauge_lib::batch::config::Config;
 use lavendergauge_lib::batch::config::Queue;
 use lavendergauge_lib::batch::gate::Newcomer;
 use lavendergauge_lib::batch::job::Id;
@@ -101,6 +104,7 @@
     account: String,
     /// Accelerators that are guaranteed to the account.
     guaranteed: u32,
+    config: Arc<Config>,
     revision: u64,
     /// The path after the queue's prefix: a job's identifier, or empty.
     path_rest: String,
@@ -292,6 +296,7 @@
         queue: queue.clone(),
         account: account.map_or_else(String::new, |account| account.name.clone()),
         guaranteed: account.map_or(0, |account| account.guaranteed),
+        config: view.config.clone(),
         revision: view.revision,
         path_rest: call.path[queue.prefix.len()..].to_owned(),
     })
@@ -369,7 +374,7 @@
                         return Err(Refusal::NotStored);
                     };
                     if known.intent == Intent::Refused {
-                        check_owner(&admitted, &known.account)?;
+                        check_owner(&admitted, origin(&known))?;
                         // A refusal that may be later than this call has been told to the caller.
                         let is_known = item.revision == revision;
                         if !is_known && (revision != 0 || in_doubt.has_failed()) {
@@ -382,7 +387,7 @@
                             };
                         }
                     } else if known.intent != Intent::Unknown {
-                        check_owner(&admitted, &known.account)?;
+                        check_owner(&admitted, origin(&known))?;
                         in_doubt.log_resolved(id);
                         notify(entry, id, known);
                         return Ok(Success::Accepted);
@@ -447,7 +452,7 @@
                     let Some(known) = record_reader::decode::<Record>(&item) else {
                         return Err(Refusal::NotStored);
                     };
-                    check_owner(admitted, &known.account)?;
+                    check_owner(admitted, origin(&known))?;
                     match known.intent {
                         Intent::Refused => revision = item.revision,
                         Intent::Unknown => return Ok(Written::Cancelled),
@@ -552,8 +557,10 @@
     id: Id,
 ) -> Result<Success, Refusal> {
     let mut tries = 0;
-    let (state, account) = match query_planner(entry, &Query::Job(id)).await {
-        Some(Reply::Job { state, account, .. }) => (state, account),
+    let (state, queue, account) = match query_planner(entry, &Query::Job(id)).await {
+        Some(Reply::Job { state, account, queue, host, prefix }) => {
+            (state, Queue { name: queue, host, prefix, ..Queue::default() }, account)
+        }
         _ => loop {
             match record_reader::state_from_store(entry, id, store_deadline(call)).await {
                 Ok(Some((_, record)))
@@ -561,7 +568,7 @@
                 {
                     return Err(Refusal::NoJob);
                 }
-                Ok(Some((state, record))) => break (state, record.account),
+                Ok(Some((state, record))) => break (state, record.queue, record.account),
                 Ok(None) => return Err(Refusal::NoJob),
                 Err(error) => {
                     let cause = error.to_string();
@@ -575,18 +582,23 @@
             }
         },
     };
-    check_owner(admitted, &account)?;
+    check_owner(admitted, Origin { queue: &queue, account: &account })?;
     Ok(Success::State(state))
 }
 
-/// Checks that a call may access a job of a client account.
-///
-/// Only the account itself may, unless the queue is public.
-fn check_owner(admitted: &Admitted, account: &str) -> Result<(), Refusal> {
-    if admitted.queue.public || admitted.account == account {
-        return Ok(());
+/// Checks that a call may access the job of a submission, see [`access::is_allowed`].
+fn check_owner(admitted: &Admitted, submission: Origin<'_>) -> Result<(), Refusal> {
+    let call = Origin { queue: &admitted.queue, account: &admitted.account };
+    if access::is_allowed(&admitted.config, call, submission) {
+        Ok(())
+    } else {
+        Err(Refusal::Foreign)
     }
-    Err(Refusal::Foreign)
+}
+
+/// Returns where the call came from that wrote a record.
+fn origin(record: &Record) -> Origin<'_> {
+    Origin { queue: &record.queue, account: &record.account }
 }
 
 async fn cancel(
@@ -652,7 +664,7 @@
             let Some(mut record) = record_reader::decode::<Record>(item) else {
                 return Ok(Cancellation::Refused(Refusal::NotStored));
             };
-            if let Err(refusal) = check_owner(admitted, &record.account) {
+            if let Err(refusal) = check_owner(admitted, origin(&record)) {
                 return Ok(Cancellation::Refused(refusal));
             }
             match record.intent {
--- a/daemon/src/batch/message.rs
+++ b/daemon/src/batch/message.rs
@@ -170,6 +170,12 @@
         account: String,
         /// Name of its queue.
         queue: String,
+        /// Host of its queue; empty from a planner of an earlier version.
+        #[serde(default)]
+        host: String,
+        /// Path prefix of its queue; empty from a planner of an earlier version.
+        #[serde(default)]
+        prefix: String,
     },
     /// The planner does not know the job.
     Nothing,
--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -141,6 +141,8 @@
                     state: job.state(),
                     account: job.record.account.clone(),
                     queue: job.record.queue.name.clone(),
+                    host: job.record.queue.host.clone(),
+                    prefix: job.record.queue.prefix.clone(),
                 },
             },
             Query::Waiting(queue) => {
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -6,6 +6,7 @@
 //! start order is sent, and the end of every run is recorded there before its worker may discard
 //! it.
 
+pub mod access;
 pub mod admission;
 pub mod advice;
 pub mod assign;
--- a/lib/src/batch/config.rs
+++ b/lib/src/batch/config.rs
@@ -32,6 +32,28 @@
     pub advice_valid_ms: u64,
 }
 
+impl Queue {
+    /// Tells whether `other` is this queue in another version of the configuration: it has the same
+    /// name, or callers reach it by the same host and prefix.
+    ///
+    /// ```
+    /// use lavendergauge_lib::batch::config::Queue;
+    /// let queue = |name: &str, prefix: &str| Queue {
+    ///     name: name.into(),
+    ///     prefix: prefix.into(),
+    ///     ..Queue::default()
+    /// };
+    /// assert!(queue("a", "/a/").is_same_route(&queue("a", "/b/")));
+    /// assert!(queue("a", "/a/").is_same_route(&queue("b", "/a/")));
+    /// assert!(!queue("a", "/a/").is_same_route(&queue("b", "/b/")));
+    /// ```
+    pub fn is_same_route(&self, other: &Queue) -> bool {
+        let has_same_path =
+            self.host.eq_ignore_ascii_case(&other.host) && self.prefix == other.prefix;
+        self.name == other.name || has_same_path
+    }
+}
+
 /// A client account.
 #[value]
 #[derive(Default, Serialize, Deserialize)]
