--- a/net/src/client.rs
+++ b/net/src/client.rs
@@ -1,6 +1,7 @@
 //! A pooled HTTP client with a deadline for every call.
 
 use std::io;
+use std::iter;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -40,6 +41,9 @@
     /// Nothing listens at the address, so the request was not sent.
     #[error("nothing listens: {0}")]
     NoListener(String),
+    /// The permission to send the request had ended when it was to be written, see [`body::guarded`].
+    #[error("withheld: {0}")]
+    Withheld(body::Withheld),
     /// The deadline passed; the request may have been carried out.
     #[error("no answer within {0:?}")]
     Timeout(Duration),
@@ -70,7 +74,11 @@
     /// assert!(Error::Connect("refused".to_owned()).never_sent());
     /// ```
     pub fn never_sent(&self) -> bool {
-        matches!(self, Error::Connect(_) | Error::NoListener(_) | Error::Malformed(_))
+        match self {
+            Error::Connect(_) | Error::NoListener(_) => true,
+            Error::Withheld(_) | Error::Malformed(_) => true,
+            Error::Timeout(_) | Error::Broken(_) | Error::Codec(_) | Error::Status { .. } => false,
+        }
     }
 }
 
@@ -169,8 +177,8 @@
     /// Sends a request and returns the response with its body still streaming.
     ///
     /// # Errors
-    /// [`Error::Connect`] or [`Error::NoListener`] when the request was not sent; [`Error::Timeout`] or [`Error::Broken`]
-    /// when it is in doubt whether it was carried out.
+    /// [`Error::Connect`], [`Error::NoListener`] or [`Error::Withheld`] when the request was not sent;
+    /// [`Error::Timeout`] or [`Error::Broken`] when it is in doubt whether it was carried out.
     pub async fn send(
         &self,
         mut request: Request<Body>,
@@ -186,7 +194,10 @@
                 Err(Error::NoListener(describe(&error)))
             }
             Ok(Err(error)) if error.is_connect() => Err(Error::Connect(describe(&error))),
-            Ok(Err(error)) => Err(Error::Broken(describe(&error))),
+            Ok(Err(error)) => match withheld(&error) {
+                Some(withheld) => Err(Error::Withheld(withheld)),
+                None => Err(Error::Broken(describe(&error))),
+            },
         }
     }
 
@@ -249,17 +260,16 @@
 }
 
 /// Tells whether an error was caused by a connection that the peer's system has refused.
-fn is_refused(error: &dyn std::error::Error) -> bool {
-    let mut source = error.source();
-    while let Some(cause) = source {
-        if let Some(cause) = cause.downcast_ref::<io::Error>()
-            && cause.kind() == io::ErrorKind::ConnectionRefused
-        {
-            return true;
-        }
-        source = cause.source();
-    }
-    false
+fn is_refused(error: &(dyn std::error::Error + 'static)) -> bool {
+    let refused = |cause: &io::Error| cause.kind() == io::ErrorKind::ConnectionRefused;
+    iter::successors(Some(error), |error| error.source())
+        .any(|error| error.downcast_ref::<io::Error>().is_some_and(refused))
+}
+
+/// Finds the error of a request's body that was withheld among an error's sources.
+fn withheld(error: &(dyn std::error::Error + 'static)) -> Option<body::Withheld> {
+    iter::successors(Some(error), |error| error.source())
+        .find_map(|error| error.downcast_ref().copied())
 }
 
 /// Returns an error's text followed by those of its sources.
