batch ingress: no later call is answered by an older configuration

Callers saw, while the store was slow: a call of a new queue waited 349 ms for the configuration to be read, and was served; a call of a queue that the same change had removed, sent while the first one waited, was served by the older configuration.

Cause: two kinds of call wait for the store and then take whatever configuration is in force, a call whose queue or key is not known, and a submission or cancellation whose write meets another revision. Nothing related the result to later calls that the older configuration had decided in between.

Change: arrival.rs keeps the order of arrival and the last call that an older configuration has decided. A call that has waited is refused with 503 and Retry-After, without being forwarded, if the configuration that it finds gives it another result than the one at its arrival and an older one has decided a later call. No call waits for another.

Ruled out: making later calls wait for the read, since calls of unknown queues would then hold up all others while the store is slow; refusing by the older configuration, since 404 and 401 are final.

--- a/daemon/src/batch/config_view.rs
+++ b/daemon/src/batch/config_view.rs
@@ -19,6 +19,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::batch::arrival::Arrivals;
 use crate::clock;
 use crate::logs::Value;
 
@@ -47,6 +48,15 @@
     pub waves: BTreeMap<String, Wave>,
     /// Time at which the configuration was last confirmed to be current.
     pub confirmed: Option<Millis>,
+    /// The callers' calls that the configuration decides.
+    pub arrivals: Arrivals,
+}
+
+impl State {
+    /// Returns the time since the configuration was last confirmed; `None` before it is first read.
+    pub fn age(&self) -> Option<Duration> {
+        self.confirmed.filter(|_| self.revision != 0).map(|at| clock::boot().since(at))
+    }
 }
 
 /// One entry's view of the configuration, shared by its tasks.
@@ -64,6 +74,7 @@
             evacuated: BTreeSet::new(),
             waves: BTreeMap::new(),
             confirmed: None,
+            arrivals: Arrivals::default(),
         };
         View { state: Mutex::new(state), version: watch::Sender::new(0) }
     }
@@ -77,8 +88,7 @@
 
     /// Returns the time since the configuration was last confirmed; `None` before it is first read.
     pub fn age(&self) -> Option<Duration> {
-        let state = self.state();
-        state.confirmed.filter(|_| state.revision != 0).map(|at| clock::boot().since(at))
+        self.state().age()
     }
 
     fn confirm(&self, sent_at: Millis) {
@@ -112,6 +122,7 @@
                 );
                 state.config = Arc::new(config);
                 state.revision = item.revision;
+                state.arrivals.supersede();
                 drop(state);
                 self.version.send_modify(|version| *version += 1);
             }
--- a/daemon/src/batch/ingress.rs
+++ b/daemon/src/batch/ingress.rs
@@ -37,6 +37,8 @@
 use tokio::time;
 
 use crate::batch::admission;
+use crate::batch::arrival::Arrival;
+use crate::batch::config_view;
 use crate::batch::entry::Entry;
 use crate::batch::forward;
 use crate::batch::in_doubt::InDoubt;
@@ -102,6 +104,7 @@
     /// Accelerators that are guaranteed to the account.
     guaranteed: u32,
     revision: u64,
+    arrival: Arrival,
     /// The path after the queue's prefix: a job's identifier, or empty.
     path_rest: String,
 }
@@ -260,26 +263,67 @@
 ///
 /// A key or queue is refused only by a configuration that has just been read.
 async fn admit(entry: &Entry, call: &Call) -> Result<Admitted, Refusal> {
-    let found = find_queue(entry, call);
-    let is_fresh = entry.config_view.age().is_some_and(|age| age < FRESH);
-    let found = match found {
-        Err(_) if !is_fresh => {
-            if let Err(error) = entry.config_view.refresh(&entry.store).await {
-                log::info!("event=config-not-checked cause={}", Value(&error.to_string()));
+    let max_age = entry.settings.revoke * TRUST_PERCENT / 100;
+    let is_younger =
+        |view: &config_view::State, limit: Duration| view.age().is_some_and(|age| age < limit);
+    let (arrival, refusal) = {
+        let mut view = entry.config_view.state();
+        let arrival = view.arrivals.arrive();
+        match find_queue(&view, call, arrival) {
+            Err(refusal) if !is_younger(&view, FRESH) => (arrival, refusal),
+            _ if !is_younger(&view, max_age) => return Err(Refusal::Unready),
+            found => {
+                view.arrivals.decide(arrival);
+                return found;
             }
-            find_queue(entry, call)
         }
-        found => found,
     };
-    let max_age = entry.settings.revoke * TRUST_PERCENT / 100;
-    match entry.config_view.age() {
-        Some(age) if age < max_age => found,
-        _ => Err(Refusal::Unready),
+    if let Err(error) = entry.config_view.refresh(&entry.store).await {
+        log::info!("event=config-not-checked cause={}", Value(&error.to_string()));
+    }
+    let mut view = entry.config_view.state();
+    if !is_younger(&view, max_age) {
+        return Err(Refusal::Unready);
     }
+    decide_again(&mut view, call, arrival, Some(refusal))
 }
 
-fn find_queue(entry: &Entry, call: &Call) -> Result<Admitted, Refusal> {
-    let view = entry.config_view.state();
+/// Finds the call's queue and client account after the configuration has changed.
+fn readmit(entry: &Entry, call: &Call, admitted: &Admitted) -> Result<Admitted, Refusal> {
+    decide_again(&mut entry.config_view.state(), call, admitted.arrival, None)
+}
+
+/// Decides a call by the present configuration that an earlier one has refused with `refusal`, or
+/// admitted.
+///
+/// While the call waited, an older configuration may have decided later calls. To callers, an
+/// entry would go back to that one if the present one gave this call another result.
+fn decide_again(
+    view: &mut config_view::State,
+    call: &Call,
+    arrival: Arrival,
+    refusal: Option<Refusal>,
+) -> Result<Admitted, Refusal> {
+    let found = find_queue(view, call, arrival);
+    if found.as_ref().err().copied() != refusal && view.arrivals.is_overtaken(arrival) {
+        log::info!(
+            "event=call-overtaken method={} path={} config={}",
+            call.method,
+            Value(&call.path),
+            view.config.version
+        );
+        counter!("lavendergauge_calls_overtaken_total").increment(1);
+        return Err(Refusal::Overtaken);
+    }
+    view.arrivals.decide(arrival);
+    found
+}
+
+fn find_queue(
+    view: &config_view::State,
+    call: &Call,
+    arrival: Arrival,
+) -> Result<Admitted, Refusal> {
     if view.revision == 0 {
         return Err(Refusal::Unready);
     }
@@ -293,6 +337,7 @@
         account: account.map_or_else(String::new, |account| account.name.clone()),
         guaranteed: account.map_or(0, |account| account.guaranteed),
         revision: view.revision,
+        arrival,
         path_rest: call.path[queue.prefix.len()..].to_owned(),
     })
 }
@@ -392,7 +437,7 @@
                         record.intent = Intent::Cancelled;
                     }
                 }
-                admitted = find_queue(entry, call)?;
+                admitted = readmit(entry, call, &admitted)?;
                 record.queue = admitted.queue.clone();
                 record.account = admitted.account.clone();
             }
@@ -458,7 +503,7 @@
                         }
                     }
                 }
-                let admitted = find_queue(entry, call)?;
+                let admitted = readmit(entry, call, admitted)?;
                 config = admitted.revision;
                 record.queue = admitted.queue;
                 record.account = admitted.account;
@@ -606,7 +651,7 @@
             Ok(Cancellation::Unknown) => return Err(Refusal::NoJob),
             Ok(Cancellation::Changed(items)) => {
                 apply_conflict(entry, id, items);
-                admitted = find_queue(entry, call)?;
+                admitted = readmit(entry, call, &admitted)?;
             }
             Ok(Cancellation::Refused(refusal)) => return Err(refusal),
             Err(error) => in_doubt.record_failure(id, error).await?,
--- a/daemon/src/batch/refusal.rs
+++ b/daemon/src/batch/refusal.rs
@@ -21,6 +21,8 @@
 pub enum Refusal {
     /// The entry has no configuration, or one that is too old to trust a key by.
     Unready,
+    /// The configuration changed during the call, and the older one has decided a later call.
+    Overtaken,
     /// There is no queue for the host and path.
     NoQueue,
     /// The key belongs to no client account.
@@ -59,7 +61,7 @@
     /// ```
     pub fn status(self) -> StatusCode {
         match self {
-            Refusal::Unready | Refusal::NotStored | Refusal::Unanswered => {
+            Refusal::Unready | Refusal::Overtaken | Refusal::NotStored | Refusal::Unanswered => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Refusal::NoQueue => StatusCode::NOT_FOUND,
@@ -83,6 +85,7 @@
     pub fn text(self) -> &'static str {
         match self {
             Refusal::Unready => "not accepted: the configuration is not known well enough",
+            Refusal::Overtaken => "not accepted: the configuration changed during the call",
             Refusal::NoQueue => "no such queue",
             Refusal::UnknownKey => "unknown key",
             Refusal::Foreign => "the job belongs to another client account",
@@ -106,7 +109,9 @@
     /// ```
     pub fn retry_after_s(self) -> Option<u32> {
         match self {
-            Refusal::Unready | Refusal::Unanswered | Refusal::InDoubt => Some(RETRY_UNREADY_S),
+            Refusal::Unready | Refusal::Overtaken | Refusal::Unanswered | Refusal::InDoubt => {
+                Some(RETRY_UNREADY_S)
+            }
             Refusal::NotStored => Some(RETRY_STORE_S),
             Refusal::Overloaded { retry_after_s } => Some(retry_after_s),
             _ => None,
