batch leader: a term ends when its key is replaced or removed

Cause: a leader took the lease that it could still renew as proof of its term. The other entries believe the leader's key. Once another writer had removed or replaced the key, another entry led beside the leader, which went on to renew its lease, to give grants and to answer callers until an agent refused it or a write failed; one that had neither agents nor anything to write went on for good. A successor replaces the runs of a worker that it cannot reach after a time that it counts from the end of the earlier lease, so that a grant given later may let a run go on beside its second start.

Change: a leader watches its key from the revision of its acquisition. It ends the term at a change of the key, and reads the key again when a watch fails or the store has dropped its history.

Before: leader_proof removed_leader fails (two entries still plan: "the condition did not hold within 4s"). After: it passes in 0.8 s. Costs one waiting watch of the leader at a time, as every other entry has.

--- a/daemon/src/batch/leader.rs
+++ b/daemon/src/batch/leader.rs
@@ -275,6 +275,7 @@
     let cause = tokio::select! {
         cause = renew_lease(entry, &term) => cause,
         cause = planner::run(entry, &term) => cause,
+        cause = watch_key(entry, &term) => cause,
         () = term.deposed.notified() => "an agent follows a newer planner",
         _ = stopping.wait_for(|stopping| *stopping) => "process stops",
     };
@@ -286,6 +287,44 @@
     end_lease(&entry.store, term.lease, DEADLINE).await;
 }
 
+/// Waits until the leader's key is no longer the one that this term has written; returns the cause.
+///
+/// The other entries believe the key: a lease that can still be renewed proves nothing once the key
+/// has been replaced or removed.
+async fn watch_key(entry: &Entry, term: &Term) -> &'static str {
+    let mut revision = term.leader_revision;
+    loop {
+        match entry.store.watch(keys::LEADER, revision, WATCH_WAIT).await {
+            Ok(WatchOutcome::Events(events, at)) => {
+                if events.iter().any(|event| event.key() == keys::LEADER) {
+                    return "the leader's key has changed";
+                }
+                revision = at;
+                continue;
+            }
+            Ok(WatchOutcome::Compacted) => {}
+            Err(error) => {
+                log::debug!("event=watch-failed cause={}", Value(&error.to_string()));
+                time::sleep(PAUSE).await;
+            }
+        }
+        match entry.store.list(keys::LEADER, DEADLINE).await {
+            Ok((items, at)) => {
+                let is_own =
+                    |item: &Item| item.key == keys::LEADER && item.revision == term.leader_revision;
+                if !items.iter().any(is_own) {
+                    return "the leader's key has changed";
+                }
+                revision = at;
+            }
+            Err(error) => {
+                log::debug!("event=lead-unknown cause={}", Value(&error.to_string()));
+                time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
 async fn renew_lease(entry: &Arc<Entry>, term: &Term) -> &'static str {
     let mut failing_since: Option<Millis> = None;
     let mut offers = succession::Offers::default();
