batch leader: a value of another writer in place of the leader's is removed

Callers would have seen: no job started any more, and states of jobs were answered from the store alone.

Cause: any value of the leader's key counted as a leader. One that another writer had put there under no lease, unreadable or a copy of the leader's own, outlived the term that it had replaced, and every entry waited for ever for it to go. One that named another lease or the reader's own address let that entry revoke the lease that was named.

Change: the key proves a leader only when it is attached to the lease that its value names, as entries write it. Any other value is removed on the condition of its revision: at once by the entry whose own ended term had created the key, by the others after 4 s, in which a leader whose key it replaced has detected that and ended its term. The leadership is then free as after any other term.

--- a/daemon/src/batch/leader.rs
+++ b/daemon/src/batch/leader.rs
@@ -54,6 +54,9 @@
 const REVOKE_DEADLINE: Duration = Duration::from_millis(300);
 /// Longest wait of one watch of the leader's key.
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
+/// Time for which a key of another writer is left in place of the leader's: a leader whose key it
+/// has replaced detects that by its watch, and ends its term, before that.
+const FOREIGN_WAIT: Duration = Duration::from_millis(4000);
 /// Deadline of other calls.
 const DEADLINE: Duration = Duration::from_millis(900);
 /// Pause after a call that failed.
@@ -109,6 +112,10 @@
 /// Watches the leader's key, acquires leadership when it is free, and plans while it lasts.
 pub async fn follow(entry: Arc<Entry>) {
     let mut has_waited = false;
+    // When a key of another writer was first found in place of the leader's.
+    let mut foreign_since: Option<Millis> = None;
+    // Fencing token of this entry's last term, once its lease has ended.
+    let mut ended_fence: Option<u64> = None;
     loop {
         // A list also returns the store's revision; the key's own may already be compacted away.
         let (found, revision) = match entry.store.list(keys::LEADER, DEADLINE).await {
@@ -123,13 +130,25 @@
             }
         };
         match found {
-            Some(item) => {
-                has_waited = false;
-                if let Some(lease) = update_leader(&entry, &item) {
-                    end_predecessor(&entry, lease).await;
+            Some(item) => match leader_of(&item) {
+                Some(leader) => {
+                    (has_waited, foreign_since) = (false, None);
+                    if let Some(lease) = update_leader(&entry, leader, item.created_revision) {
+                        end_predecessor(&entry, lease).await;
+                    }
+                    wait_for_vacancy(&entry.store, revision).await;
                 }
-                wait_for_vacancy(&entry.store, revision).await;
-            }
+                None => {
+                    let since = *foreign_since.get_or_insert_with(clock::boot);
+                    // A key that this entry's last term created has had no other leader since.
+                    let is_own = ended_fence == Some(item.created_revision);
+                    if is_own || FOREIGN_WAIT <= clock::boot().since(since) {
+                        remove_foreign(&entry, &item).await;
+                    } else {
+                        time::sleep(PAUSE).await;
+                    }
+                }
+            },
             None if *entry.stopping.borrow() => time::sleep(PAUSE).await,
             // Entries on stronger VMs go first.
             None if !std::mem::replace(&mut has_waited, true) => {
@@ -141,8 +160,9 @@
             }
             None => match acquire(&entry).await {
                 Ok(Some(term)) => {
-                    serve_term(&entry, Arc::new(term)).await;
-                    has_waited = false;
+                    let fence = term.fence;
+                    ended_fence = serve_term(&entry, Arc::new(term)).await.then_some(fence);
+                    (has_waited, foreign_since) = (false, None);
                 }
                 Ok(None) => {}
                 Err(error) => {
@@ -172,25 +192,17 @@
     }
 }
 
-/// Updates the known leader; returns its lease when the leader's process has certainly ended.
+/// Returns the leader that the leader's key names; `None` for a value of another writer.
 ///
-/// That is so when it has this entry's own address, where only one process can listen, and another
-/// session.
-fn update_leader(entry: &Entry, item: &Item) -> Option<u64> {
+/// An entry attaches the key to the lease that its value names, so that the key ends with the lease.
+/// No lease ends any other value, and nothing shows that its writer leads.
+fn leader_of(item: &Item) -> Option<Leader> {
     match codec::unpack::<Leader>(&item.value) {
+        Ok(leader) if leader.lease != 0 && leader.lease == item.lease => Some(leader),
         Ok(leader) => {
-            let has_changed = entry.leader.borrow().as_ref() != Some(&leader);
-            if has_changed {
-                log::info!(
-                    "event=planner-known planner={} fence={}",
-                    leader.name,
-                    item.created_revision
-                );
-                entry.leader.send_replace(Some(leader.clone()));
-            }
-            let is_predecessor = leader.address == entry.settings.advertised_address
-                && leader.session != entry.session;
-            is_predecessor.then_some(leader.lease)
+            let (named, lease) = (leader.lease, item.lease);
+            log::warn!("event=lead-foreign named_lease={named} lease={lease}");
+            None
         }
         Err(cause) => {
             log::error!("event=lead-unreadable cause={}", Value(&cause.to_string()));
@@ -199,6 +211,41 @@
     }
 }
 
+/// Removes a key that another writer has put in place of the leader's, unless it has changed.
+async fn remove_foreign(entry: &Entry, item: &Item) {
+    let transaction = Transaction {
+        conditions: vec![(keys::LEADER.to_owned(), item.revision)],
+        removals: vec![keys::LEADER.to_owned()],
+        ..Transaction::default()
+    };
+    match entry.store.commit(&transaction, DEADLINE).await {
+        Ok(CommitOutcome::Done(_)) => {
+            log::warn!("event=lead-foreign-removed revision={}", item.revision);
+        }
+        Ok(_) => time::sleep(PAUSE).await,
+        Err(error) => {
+            log::warn!("event=lead-foreign-kept cause={}", Value(&error.to_string()));
+            time::sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Updates the known leader; returns its lease when the leader's process has certainly ended.
+///
+/// That is so when it has this entry's own address, where only one process can listen, and another
+/// session.
+fn update_leader(entry: &Entry, leader: Leader, fence: u64) -> Option<u64> {
+    let has_changed = entry.leader.borrow().as_ref() != Some(&leader);
+    let is_predecessor =
+        leader.address == entry.settings.advertised_address && leader.session != entry.session;
+    let lease = leader.lease;
+    if has_changed {
+        log::info!("event=planner-known planner={} fence={fence}", leader.name);
+        entry.leader.send_replace(Some(leader));
+    }
+    is_predecessor.then_some(lease)
+}
+
 /// Waits until leadership may be free; the caller reads the key again after each wait.
 async fn wait_for_vacancy(store: &Store, mut revision: u64) {
     loop {
@@ -268,8 +315,8 @@
     Ok(Some(term))
 }
 
-/// Plans until leadership is lost or the process stops.
-async fn serve_term(entry: &Arc<Entry>, term: Arc<Term>) {
+/// Plans until leadership is lost or the process stops; returns whether the lease has ended.
+async fn serve_term(entry: &Arc<Entry>, term: Arc<Term>) -> bool {
     log::info!("event=duty-taken planner={} fence={}", entry.name, term.fence);
     let mut stopping = entry.stopping.subscribe();
     let cause = tokio::select! {
@@ -284,7 +331,7 @@
     entry.set_planner(None);
     entry.leader.send_replace(None);
     log::info!("event=duty-lost planner={} fence={} cause=\"{cause}\"", entry.name, term.fence);
-    end_lease(&entry.store, term.lease, DEADLINE).await;
+    end_lease(&entry.store, term.lease, DEADLINE).await
 }
 
 /// Waits until the leader's key is no longer the one that this term has written; returns the cause.
