batch agents: only an agent that has followed a term can end it by a refusal

Callers would have seen: no entry kept the planner's role, so that jobs waited, and every entry took it in turn.

Cause: one status 409 from whatever listens at an address that is registered for an agent ended the term. Another writer can register any address, such as one of another service, and each next leader polled it again.

Change: a 409 counts once the agent has answered at that address in this term, with its name. An address that has not is treated like one that does not answer. A leader that is really superseded, and has heard of no agent yet, sees that its key has changed.

Before: leader_proof foreign_conflict fails (no planner after 26 ms: "left: [], right: [0]"). After: leader_proof passes, 4 of 4 tests.

--- a/daemon/src/batch/follow.rs
+++ b/daemon/src/batch/follow.rs
@@ -162,6 +162,8 @@
 async fn poll(planner: Arc<Planner>, term: Arc<Term>, node: String, address: String) {
     let mut seen = 0;
     let mut is_lost = false;
+    // Until the agent has answered here, anything may answer.
+    let mut has_answered = false;
     loop {
         let poll = next_poll(&planner, &term, &node, seen);
         let deadline = POLL_WAIT + POLL_SLACK;
@@ -172,6 +174,7 @@
                 if std::mem::take(&mut is_lost) {
                     log::info!("event=agent-regained worker={node} session={}", report.session);
                 }
+                has_answered = true;
                 seen = report.version;
                 apply_report(&planner, &term, &report);
             }
@@ -179,7 +182,7 @@
                 log::warn!("event=agent-foreign worker={node} found={}", report.node);
                 time::sleep(POLL_WAIT).await;
             }
-            Err(client::Error::Status { status: 409, .. }) => {
+            Err(client::Error::Status { status: 409, .. }) if has_answered => {
                 term.deposed.notify_one();
                 time::sleep(PAUSE).await;
             }
--- a/daemon/src/batch/leader.rs
+++ b/daemon/src/batch/leader.rs
@@ -84,7 +84,7 @@
     pub leader_revision: u64,
     /// Revision of the chain's key at the start of the term.
     pub chain_revision: u64,
-    /// Notified when an agent reports a higher fencing token.
+    /// Notified when an agent that has followed this term refuses it.
     pub deposed: Notify,
     /// Notified when a write of the planner failed, so that the lease is renewed at once.
     pub store_failed: Notify,
