batch agents: an agent that answers is polled on when another address is registered for it

Callers would have seen: a run lapsed and its job stood still, since its worker had no planner any more.

Cause: the planner left an agent's address at once when any other was written under the agent's key. The agent's lease from the planner then ran out, and nothing told the planner of its worker.

Change: the planner polls the new address beside the one in use, and changes to it when the agent has answered there with its name. Its orders go to the address in use. When the address in use is registered again, the other one is given up.

--- a/daemon/src/batch/follow.rs
+++ b/daemon/src/batch/follow.rs
@@ -19,6 +19,7 @@
 use lavendergauge_platform::store::Event;
 use lavendergauge_platform::store::Item;
 use lavendergauge_platform::store::WatchOutcome;
+use smallvec::SmallVec;
 use tokio::task::JoinHandle;
 use tokio::time;
 
@@ -110,9 +111,13 @@
     }
 }
 
+/// The polls of one agent, each with its address: at the address where it answers, and at one that
+/// has been registered for it since.
+type Polls = SmallVec<[(String, AbortOnDrop); 2]>;
+
 /// Watches the agents' addresses, and polls each agent.
 pub async fn agents(entry: Arc<Entry>, planner: Arc<Planner>, term: Arc<Term>) {
-    let mut polls: HashMap<String, (String, AbortOnDrop)> = HashMap::new();
+    let mut polls: HashMap<String, Polls> = HashMap::new();
     loop {
         let (items, revision) = record_reader::list(&entry, keys::AGENTS).await;
         items.iter().for_each(|item| start_polling(&planner, &term, &mut polls, item));
@@ -123,10 +128,14 @@
     }
 }
 
+/// Polls an agent at the address that is registered for it.
+///
+/// Another writer may have registered that address. An agent that is polled at another one already
+/// is polled there too, until it answers at the new one.
 fn start_polling(
     planner: &Arc<Planner>,
     term: &Arc<Term>,
-    polls: &mut HashMap<String, (String, AbortOnDrop)>,
+    polls: &mut HashMap<String, Polls>,
     item: &Item,
 ) {
     let Some(node) = item.key.strip_prefix(keys::AGENTS) else { return };
@@ -135,16 +144,18 @@
         log::warn!("event=agent-unreadable worker={} bytes={length}", Value(node));
         return;
     };
-    if polls.get(node).is_some_and(|(known, _)| *known == address) {
+    let used = {
+        let mut agents = planner.agents.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        agents.entry(node.to_owned()).or_insert_with(|| address.clone()).clone()
+    };
+    let polls = polls.entry(node.to_owned()).or_default();
+    polls.retain(|(known, task)| !task.0.is_finished() && (*known == used || *known == address));
+    if polls.iter().any(|(known, _)| *known == address) {
         return;
     }
     log::info!("event=agent-known worker={node} address={address}");
-    {
-        let mut agents = planner.agents.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        agents.insert(node.to_owned(), address.clone());
-    }
     let task = tokio::spawn(poll(planner.clone(), term.clone(), node.to_owned(), address.clone()));
-    polls.insert(node.to_owned(), (address, AbortOnDrop(task)));
+    polls.push((address, AbortOnDrop(task)));
 }
 
 /// Longest address of an agent, in bytes: a host name, a colon and a port.
@@ -158,23 +169,38 @@
     (has_port && !address.contains('@')).then(|| address.to_owned())
 }
 
-/// Polls one agent for its reports, until the task is aborted.
+/// Polls one agent for its reports at an address, until the agent has answered at another one.
 async fn poll(planner: Arc<Planner>, term: Arc<Term>, node: String, address: String) {
     let mut seen = 0;
     let mut is_lost = false;
+    let mut was_used = false;
     // Until the agent has answered here, anything may answer.
     let mut has_answered = false;
     loop {
         let poll = next_poll(&planner, &term, &node, seen);
         let deadline = POLL_WAIT + POLL_SLACK;
         let reply =
-            planner.client.exchange::<Poll, Report>(&address, message::POLL, &poll, deadline);
-        match reply.await {
-            Ok(report) if report.node == node => {
+            planner.client.exchange::<Poll, Report>(&address, message::POLL, &poll, deadline).await;
+        let is_agent = reply.as_ref().is_ok_and(|report| report.node == node);
+        let is_used = {
+            let mut agents = planner.agents.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+            let used = agents.entry(node.clone()).or_default();
+            if is_agent && !was_used && *used != address {
+                log::info!("event=agent-moved worker={node} address={address} before={used}");
+                used.clone_from(&address);
+            }
+            *used == address
+        };
+        if was_used && !is_used {
+            return;
+        }
+        was_used = is_used;
+        has_answered |= is_agent;
+        match reply {
+            Ok(report) if is_agent => {
                 if std::mem::take(&mut is_lost) {
                     log::info!("event=agent-regained worker={node} session={}", report.session);
                 }
-                has_answered = true;
                 seen = report.version;
                 apply_report(&planner, &term, &report);
             }
@@ -192,7 +218,9 @@
                     log::warn!("event=agent-lost worker={node} cause={}", Value(&cause));
                 }
                 seen = 0;
-                observe::mark_unreachable(&mut planner.tables(), &node);
+                if is_used {
+                    observe::mark_unreachable(&mut planner.tables(), &node);
+                }
                 time::sleep(PAUSE).await;
             }
         }
