batch records: a job that was held for another writer's value runs once it is accepted

Callers would have seen: a job that was accepted with 200 never ran in that term of the planner.

Cause: a job whose record cannot be read is held. When another writer had written the key of a job before it was submitted, and the key was free again, an entry accepted the job, and the planner ignored its record, as the job was still held.

Change: when the record of a held job can be read, the planner reads the job's progress. Without any, no run of it was ever ordered, and it is released and loaded. A job with progress stays held in that term.

Before: late_record accepted_after_foreign fails, the job has not ended within 10 s. After: it passes in 1.4 s; the 14 tests of malformed_items pass, which hold jobs.

--- a/daemon/src/batch/follow.rs
+++ b/daemon/src/batch/follow.rs
@@ -9,6 +9,7 @@
 use lavendergauge_lib::batch::change::Change;
 use lavendergauge_lib::batch::dispatch::Dispatch;
 use lavendergauge_lib::batch::hold;
+use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::Record;
 use lavendergauge_lib::batch::observe;
 use lavendergauge_lib::batch::order::Order;
@@ -40,6 +41,8 @@
 /// Number of watches that fail in a row after which the keys are listed: the answer to a watch from
 /// the same revision may be too long every time.
 const MAX_FAILED_WATCHES: u32 = 3;
+/// Deadline of the read of a job's progress.
+const READ_DEADLINE: Duration = Duration::from_millis(900);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Longest long poll at an agent.
@@ -50,9 +53,9 @@
 /// Watches the jobs' records from a revision on, and loads each changed one.
 pub async fn jobs(entry: Arc<Entry>, planner: Arc<Planner>, mut revision: u64) {
     loop {
-        watch(&entry, keys::JOBS, revision, |item| load_item(&planner, item)).await;
+        watch(&entry, keys::JOBS, revision, |item| load_item(&entry, &planner, item)).await;
         let (items, at) = record_reader::list(&entry, keys::JOBS).await;
-        items.iter().for_each(|item| load_item(&planner, item));
+        items.iter().for_each(|item| load_item(&entry, &planner, item));
         revision = at;
     }
 }
@@ -85,12 +88,20 @@
     log::info!("event=watch-given-up prefix={prefix}");
 }
 
-fn load_item(planner: &Planner, item: &Item) {
+fn load_item(entry: &Arc<Entry>, planner: &Arc<Planner>, item: &Item) {
     let Some(id) = keys::id(keys::JOBS, &item.key) else { return };
     match record_reader::decode::<Record>(item) {
         Some(record) => {
-            records::note_refused(&mut planner.tables(), id, &record, item.revision);
-            planner.load_record(id, record);
+            let is_held = {
+                let mut tables = planner.tables();
+                records::note_refused(&mut tables, id, &record, item.revision);
+                tables.held.contains(&id) && !tables.jobs.contains_key(&id)
+            };
+            if is_held {
+                tokio::spawn(release(entry.clone(), planner.clone(), id, record));
+            } else {
+                planner.load_record(id, record);
+            }
         }
         // A job that is known already goes on as it was.
         None => {
@@ -102,6 +113,32 @@
     }
 }
 
+/// Loads the record of a held job that can be read now, if the job has no progress.
+///
+/// Progress is recorded before a run is ordered, so that nothing of such a job has run. A job with
+/// progress stays held during this term, which has skipped the ends of its runs.
+async fn release(entry: Arc<Entry>, planner: Arc<Planner>, id: Id, record: Record) {
+    let is_planner = || entry.planner().is_some_and(|current| Arc::ptr_eq(&current, &planner));
+    while is_planner() {
+        match entry.store.read(&keys::progress(id), READ_DEADLINE).await {
+            Ok(None) => {
+                log::info!("event=job-released job={id}");
+                hold::release(&mut planner.tables(), id);
+                planner.load_record(id, record);
+                return;
+            }
+            Ok(Some(_)) => {
+                log::warn!("event=job-still-held job={id} cause=\"it has progress\"");
+                return;
+            }
+            Err(error) => {
+                log::debug!("event=progress-unknown cause={}", Value(&error.to_string()));
+                time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Handle of a spawned task that aborts it when dropped.
 struct AbortOnDrop(JoinHandle<()>);
 
--- a/lib/src/batch/hold.rs
+++ b/lib/src/batch/hold.rs
@@ -25,6 +25,24 @@
     tables.held.insert(id);
 }
 
+/// Ends the hold of a job of which nothing has run.
+///
+/// ```
+/// use lavendergauge_lib::batch::config::Bounds;
+/// use lavendergauge_lib::batch::hold;
+/// use lavendergauge_lib::batch::job::Id;
+/// use lavendergauge_lib::batch::table::Tables;
+/// use lavendergauge_lib::clock::Millis;
+/// let bounds = Bounds { stop_grace_ms: 400, remote_permille: 3000, reclaim_ms: 2900, keep_ms: 120_000 };
+/// let mut tables = Tables::new(bounds, Millis(0));
+/// hold::hold(&mut tables, Id(1));
+/// hold::release(&mut tables, Id(1));
+/// assert!(!hold::is_held(&tables, Id(1)));
+/// ```
+pub fn release(tables: &mut Tables, id: Id) {
+    tables.held.remove(&id);
+}
+
 /// Tells whether a job is held and not known to be cancelled.
 pub fn is_held(tables: &Tables, id: Id) -> bool {
     let is_wanted = |job: &Job| job.record.intent == Intent::Wanted;
