batch waves: a wave goes on when another writer has replaced its record

Operators would have seen: a maintenance wave that stayed `running` for good.

Cause: a record that could not be read was an error at each check, for this planner and every later one. One that had another revision than the planner had written was taken for that of another planner, for the rest of the term.

While the leader's key is this term's, a changed record is another writer's or an earlier attempt's, and the next check replaces it.

--- a/daemon/src/batch/maintenance.rs
+++ b/daemon/src/batch/maintenance.rs
@@ -139,7 +139,12 @@
     let Some(item) = entry.store.read(&keys::wave(number), DEADLINE).await? else {
         return Ok(StoredRecord { record: Record::default(), revision: 0 });
     };
-    let record = codec::unpack(&item.value).map_err(|error| Error::Malformed(error.to_string()))?;
+    // A VM whose maintenance is ordered again is not taken down twice, so that without the record
+    // the wave starts anew.
+    let record = codec::unpack(&item.value).unwrap_or_else(|cause| {
+        log::error!("event=record-unreadable key={} cause={}", item.key, Value(&cause.to_string()));
+        Record::default()
+    });
     Ok(StoredRecord { record, revision: item.revision })
 }
 
@@ -170,13 +175,17 @@
             Ok(())
         }
         CommitOutcome::Conflict(items) => {
-            let current = items.iter().find(|item| item.key == key);
-            match current {
-                Some(item) if item.value == value => {
-                    stored.revision = item.revision;
-                    Ok(())
-                }
-                _ => Err(Error::NotDone("the wave's record has changed".to_owned())),
+            let revision_of =
+                |key: &str| items.iter().find(|item| item.key == key).map(|item| item.revision);
+            if revision_of(keys::LEADER) != Some(term.leader_revision) {
+                return Err(Error::NotDone("another planner leads".to_owned()));
+            }
+            // Only the leader writes the record: this is an earlier attempt of this term, or the
+            // value of another writer, which the next check replaces.
+            stored.revision = revision_of(&key).unwrap_or(0);
+            match items.iter().any(|item| item.key == key && item.value == value) {
+                true => Ok(()),
+                false => Err(Error::NotDone("the wave's record has changed".to_owned())),
             }
         }
         CommitOutcome::NoLease => Err(Error::NotDone("no such lease".to_owned())),
