batch records: a cancelled job is kept from its cancellation on

Callers would have seen: 410 instead of `cancelled` within ten seconds of cancelling a job that had been accepted more than `keep_s` before, such as a task that lasts.

Cause: a cancelled job counted as ended when it was accepted, and was removed as soon as it was idle.

Change: it has ended when the planner learns of the cancellation; a next planner takes the recorded time, or the time at which it learned of it. Refusals and cancellations without a job keep their own time.

Before: batch_runs cancelled_after_long fails (the job is removed 2 s after the cancellation). After: it passes, and so do the other tests of batch_runs, batch_partial, batch_recurring and batch_admission.

--- a/lib/src/batch/records.rs
+++ b/lib/src/batch/records.rs
@@ -32,6 +32,7 @@
     tables.refused.remove(&id);
     if let Some(job) = tables.jobs.get_mut(&id) {
         if job.record.intent < record.intent {
+            note_cancelled(job, &record, wall_ms);
             job.record = Arc::new(record);
             tables.unsettled.insert(id);
             if tables.held.contains(&id) {
@@ -49,6 +50,17 @@
     }
     let age = wall_ms.saturating_sub(record.accepted_ms);
     tables.add_job(id, Millis(now.0.saturating_sub(age)), record);
+    if let Some(job) = tables.jobs.get_mut(&id) {
+        let record = job.record.clone();
+        note_cancelled(job, &record, wall_ms);
+    }
+}
+
+/// Notes when a cancelled job ended: when this planner learned that, if nothing earlier is recorded.
+fn note_cancelled(job: &mut Job, record: &Record, wall_ms: u64) {
+    if record.intent == Intent::Cancelled {
+        job.ended_ms = job.ended_ms.max(wall_ms);
+    }
 }
 
 /// Restores the progress of a job that an earlier planner recorded. Call it right after the job's
@@ -79,7 +91,9 @@
     job.next = progress.from;
     job.outcome = progress.outcome;
     job.recorded_outcome = progress.outcome;
-    job.ended_ms = progress.ended_ms;
+    if progress.ended_ms != 0 {
+        job.ended_ms = progress.ended_ms;
+    }
     job.started = progress.from != 0 || progress.outcome.is_some();
     let mut inherited = Vec::new();
     for recorded in &progress.occurrences {
@@ -250,8 +264,8 @@
     let keep = tables.bounds.keep_ms;
     let expired = |job: &Job| {
         let ended = match job.record.intent {
-            Intent::Wanted => job.ended_ms,
-            _ => job.record.accepted_ms,
+            Intent::Wanted | Intent::Cancelled => job.ended_ms,
+            Intent::Unknown | Intent::Refused => job.record.accepted_ms,
         };
         let has_ended = job.recorded_outcome.is_some() || job.record.intent != Intent::Wanted;
         let idle = job.occurrences.values().all(|occurrence| {
--- a/lib/tests/batch_runs.rs
+++ b/lib/tests/batch_runs.rs
@@ -6,6 +6,7 @@
 mod batch_sim;
 
 use batch_sim::Simulation;
+use batch_sim::bounds;
 use batch_sim::step;
 use lavendergauge_lib::batch::job::State;
 use lavendergauge_lib::batch::job::Step;
@@ -270,6 +271,25 @@
     assert_eq!((removed.len(), sim.tables.jobs.len()), (2, 3));
 }
 
+#[test]
+fn cancelled_after_long() {
+    // Guards against a job that is forgotten as it is cancelled, since it was accepted long ago.
+    for is_taken_over in [false, true] {
+        let mut sim = Simulation::new(1);
+        let id = sim.submit("plain", "brno", vec![step(1, 1, 300_000)], 300_000);
+        sim.run_for(bounds().keep_ms + 1000);
+        sim.cancel(id);
+        sim.run_for(2000);
+        if is_taken_over {
+            sim.take_over();
+            sim.run_for(1000);
+        }
+        let wall_ms = sim.wall();
+        assert!(records::expire(&mut sim.tables, wall_ms, 1).is_empty(), "{is_taken_over}");
+        assert_eq!(records::expire(&mut sim.tables, u64::MAX, 1), [id], "{is_taken_over}");
+    }
+}
+
 #[test]
 fn silence_is_not_lack_of_progress() {
     // A worker that was silent for almost as long as its grant keeps its run: silence says nothing
