batch leader: a successor ends the lease of the leader that was known last

Cause: a missing key was taken as the end of its leader's lease. When another writer has removed the key, the lease is still valid. A leader whose watch hangs noticed the removal only when the watch timed out, renewed its lease and could grant until then, while its successor counted from its own start.

Change: an entry acquires leadership after the store has ended the lease of the leader that it knew last, which is one call for each change of the planner and mostly answered with 404. The leader's next renewal then shows it that its term is over. The stand-in's store can leave watches unanswered.

--- a/daemon/src/batch/leader.rs
+++ b/daemon/src/batch/leader.rs
@@ -158,6 +158,8 @@
                 };
                 time::sleep(succession::delay(&own, &entry.roster.peers(&entry))).await;
             }
+            // Another writer may have removed the key, which leaves the lease of its leader valid.
+            None if !end_known_leader(&entry).await => time::sleep(PAUSE).await,
             None => match acquire(&entry).await {
                 Ok(Some(term)) => {
                     let fence = term.fence;
@@ -181,6 +183,15 @@
     }
 }
 
+/// Ends the lease of the leader that was known last, if there is one; returns whether it has ended.
+async fn end_known_leader(entry: &Entry) -> bool {
+    let lease = entry.leader.borrow().as_ref().map(|leader| leader.lease);
+    match lease {
+        Some(lease) => end_lease(&entry.store, lease, DEADLINE).await,
+        None => true,
+    }
+}
+
 /// Revokes a leader's lease; returns whether it has ended.
 pub async fn end_lease(store: &Store, lease: u64, deadline: Duration) -> bool {
     match store.revoke(lease, deadline).await {
