batch records: a cancellation before the submission is no job

Callers saw: a DELETE of a job that nobody had submitted was answered 410, and then a GET of it 200 with the state "cancelled", as if there were such a job.

Cause: the record of such a cancellation (Intent::Unknown), which only keeps a later submission from running, was loaded into the planner's jobs; only a state that was read from the store left it out.

Change: records of no accepted job, of refusals and of such cancellations, are kept in one table until their time is over, and their keys are removed on the condition of their revision. A later submission loads as the job that it is.

--- a/daemon/src/batch/ingress.rs
+++ b/daemon/src/batch/ingress.rs
@@ -563,11 +563,6 @@
         }
         _ => loop {
             match record_reader::state_from_store(entry, id, store_deadline(call)).await {
-                Ok(Some((_, record)))
-                    if matches!(record.intent, Intent::Unknown | Intent::Refused) =>
-                {
-                    return Err(Refusal::NoJob);
-                }
                 Ok(Some((state, record))) => break (state, record.queue, record.account),
                 Ok(None) => return Err(Refusal::NoJob),
                 Err(error) => {
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -233,6 +233,20 @@
     Unknown,
 }
 
+impl Intent {
+    /// Tells whether the record is of a job that was accepted. Any other only affects a later
+    /// submission.
+    ///
+    /// ```
+    /// use lavendergauge_lib::batch::job::Intent;
+    /// assert!(Intent::Cancelled.is_of_accepted());
+    /// assert!(!Intent::Unknown.is_of_accepted());
+    /// ```
+    pub fn is_of_accepted(self) -> bool {
+        matches!(self, Intent::Wanted | Intent::Cancelled)
+    }
+}
+
 /// Durable record of a submitted job; only entries write it.
 #[value]
 #[derive(Serialize, Deserialize)]
--- a/lib/src/batch/records.rs
+++ b/lib/src/batch/records.rs
@@ -23,10 +23,10 @@
 
 /// Applies a job's record as an entry wrote it; of a known job only the caller's intent changes.
 ///
-/// The record of a refused job is no job, see [`note_refused`]. `wall_ms` is the time of day at `now`,
+/// A record of no accepted job changes nothing, see [`note_refused`]. `wall_ms` is the time of day at `now`,
 /// in Unix milliseconds.
 pub fn load_record(tables: &mut Tables, now: Millis, wall_ms: u64, id: Id, record: Record) {
-    if record.intent == Intent::Refused {
+    if !record.intent.is_of_accepted() {
         return;
     }
     tables.refused.remove(&id);
@@ -216,10 +216,10 @@
     }
 }
 
-/// Notes the stored record of a refused job, whose key last changed at `revision`, so that it is
-/// removed when its time is over. Any other record ends this.
+/// Notes the stored record of a job that was refused, or cancelled before its submission, so that it is
+/// removed when its time is over; its key last changed at `revision`. Any other record ends this.
 pub fn note_refused(tables: &mut Tables, id: Id, record: &Record, revision: u64) {
-    if record.intent == Intent::Refused && !tables.jobs.contains_key(&id) {
+    if !record.intent.is_of_accepted() && !tables.jobs.contains_key(&id) {
         tables.refused.insert(id, RefusedRecord { revision, written_ms: record.accepted_ms });
     }
 }
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -463,7 +463,7 @@
     pub has_preempted: bool,
 }
 
-/// Stored record of a refused job.
+/// Stored record of a job that was refused, or cancelled before its submission.
 #[token]
 pub struct RefusedRecord {
     /// Revision of the last change of its key.
@@ -487,7 +487,7 @@
     pub evacuated: BTreeSet<String>,
     /// Jobs.
     pub jobs: BTreeMap<Id, Job>,
-    /// Stored records of refused jobs, which are no jobs.
+    /// Stored records of jobs that were refused, or cancelled before their submission.
     pub refused: BTreeMap<Id, RefusedRecord>,
     /// Runs that may exist.
     pub runs: SlotMap<key::Run, Run>,
--- a/lib/tests/batch_admission.rs
+++ b/lib/tests/batch_admission.rs
@@ -20,6 +20,7 @@
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::Intent;
 use lavendergauge_lib::batch::job::Record;
+use lavendergauge_lib::batch::job::State;
 use lavendergauge_lib::batch::job::Step;
 use lavendergauge_lib::batch::job::Submission;
 use lavendergauge_lib::batch::records;
@@ -301,6 +302,26 @@
     );
 }
 
+#[test]
+fn early_cancellation() {
+    // The record of a cancellation before the submission became a job, which was shown as cancelled.
+    let mut sim = Simulation::new(1);
+    let accepted = sim.submit("plain", "", vec![step(1, 1, 500)], 500);
+    let wanted = sim.records[&accepted].clone();
+    let unknown = Record { intent: Intent::Unknown, accepted_ms: 1000, ..wanted.clone() };
+    let (now, tables) = (Millis(sim.now), &mut sim.tables);
+    for id in [Id(50), Id(51)] {
+        records::note_refused(tables, id, &unknown, 9);
+        records::load_record(tables, now, 1000, id, unknown.clone());
+        assert!(!tables.jobs.contains_key(&id));
+    }
+    let cancelled = Record { intent: Intent::Cancelled, ..wanted };
+    records::load_record(tables, now, 1000, Id(51), cancelled);
+    assert_eq!(tables.jobs[&Id(51)].state(), State::Cancelled);
+    let expired = records::expire_refused(tables, 121_001, 9);
+    assert_eq!(expired.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [Id(50)]);
+}
+
 proptest! {
     #[test]
     fn refusals_are_late_and_bounded(start_ms in 0..300_000_u64, age_ms in 0..6000_u64) {
