batch ingress: a foreign call cancels no job before its submission

Callers would see: their job is accepted and shown as cancelled, since another caller had sent a DELETE of its identifier over a public queue, or with the key of another account, before the submission arrived.

Cause: the record of a cancellation that comes first names the queue and account of its call, and nobody compared them with those of the submission. Found while check_owner was read for the public queues.

Change: the cancellation holds for a job that its call may access (access::is_allowed). Any other is replaced by the job, or by the record of its refusal.

--- a/daemon/src/batch/ingress.rs
+++ b/daemon/src/batch/ingress.rs
@@ -357,7 +357,8 @@
     };
     let mut in_doubt = InDoubt::default();
     // Revision of the record to replace, 0 for none: the record of a cancellation that came before
-    // the job is replaced by the job, marked as cancelled, and that of a refusal by the job.
+    // the job is replaced by the job, marked as cancelled if the call that cancelled it may access the
+    // job, and that of a refusal by the job.
     let mut revision = 0;
     loop {
         let outcome = write(entry, call, id, revision, admitted.revision, &record).await;
@@ -393,7 +394,7 @@
                         return Ok(Success::Accepted);
                     }
                     revision = item.revision;
-                    if known.intent == Intent::Unknown {
+                    if is_cancelled_by(&admitted, &record, &known) {
                         record.intent = Intent::Cancelled;
                     }
                 }
@@ -452,10 +453,14 @@
                     let Some(known) = record_reader::decode::<Record>(&item) else {
                         return Err(Refusal::NotStored);
                     };
-                    check_owner(admitted, origin(&known))?;
+                    if is_cancelled_by(admitted, &record, &known) {
+                        return Ok(Written::Cancelled);
+                    }
+                    if known.intent != Intent::Unknown {
+                        check_owner(admitted, origin(&known))?;
+                    }
                     match known.intent {
-                        Intent::Refused => revision = item.revision,
-                        Intent::Unknown => return Ok(Written::Cancelled),
+                        Intent::Refused | Intent::Unknown => revision = item.revision,
                         Intent::Wanted | Intent::Cancelled => {
                             in_doubt.log_resolved(id);
                             notify(entry, id, known);
@@ -591,6 +596,13 @@
     }
 }
 
+/// Tells whether `known` is the record of a cancellation that came before the submission of `record`, by
+/// a call that may access the job.
+fn is_cancelled_by(admitted: &Admitted, record: &Record, known: &Record) -> bool {
+    known.intent == Intent::Unknown
+        && access::is_allowed(&admitted.config, origin(known), origin(record))
+}
+
 /// Returns where the call came from that wrote a record.
 fn origin(record: &Record) -> Origin<'_> {
     Origin { queue: &record.queue, account: &record.account }
