batch: a run that was not listed yet is not ended with its incarnation; review of the agent's proofs

Change: a run is ended with its incarnation only once it was listed; any other moves to the next incarnation, whose list decides, or lasts until its lease is over. Acknowledgements are for equal incarnations. A refused fencing token stays with its claim. Late heartbeats count as a series only 100 ms apart.

--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -185,7 +185,7 @@
             session: self.session,
             fence: state.fence,
             version,
-            ended_incarnation: state.membership.ended().iter().copied().max().unwrap_or(0),
+            ended_incarnation: state.membership.all_ended_until(),
             ended_incarnations: state.membership.ended().into(),
             is_worker_responsive: state.is_worker_responsive,
             is_stopping: state.is_stopping,
@@ -373,7 +373,9 @@
     }
     let has_newer_acknowledgement = {
         let mut state = agent.state();
-        let is_newer = state.forgettable_ends < (poll.incarnation, poll.forget);
+        let (incarnation, number) = state.forgettable_ends;
+        // The number of a later incarnation may be lower.
+        let is_newer = incarnation != poll.incarnation || number < poll.forget;
         if is_newer {
             state.forgettable_ends = (poll.incarnation, poll.forget);
         }
--- a/daemon/src/batch/agent_state.rs
+++ b/daemon/src/batch/agent_state.rs
@@ -89,6 +89,7 @@
     /// address: the one before has ended.
     pub fn admit(&mut self, claim: Claim, clock: Reading) {
         let (id, incarnation) = (claim.announcement.id.clone(), claim.announcement.incarnation);
+        let is_leaving = self.membership.is_leaving(clock::boot().0);
         let before = self.membership.admit(claim);
         log::info!(
             "event=worker-joined worker={id} incarnation={incarnation} known_worker={} before={}",
@@ -96,7 +97,7 @@
             before.as_ref().map_or(0, |worker| worker.incarnation)
         );
         if let Some(before) = before {
-            self.record_end(&before, false);
+            self.record_end(&before, is_leaving);
         }
         self.note_restart(&id);
         self.worker_clock = Some(clock);
--- a/lib/src/batch/membership.rs
+++ b/lib/src/batch/membership.rs
@@ -29,33 +29,36 @@
 const LEAVE_MEMORY_MS: u64 = 5_000;
 /// Consecutive heartbeats with lower sequence numbers than the highest one that are dropped as late.
 const MAX_LATE: u32 = 2;
+/// Least time between two of them, in milliseconds; delayed ones may arrive together.
+const LATE_INTERVAL_MS: u64 = 100;
 
 /// The heartbeats' sequence numbers of one incarnation.
 #[token]
 struct Sequence {
     highest: u64,
-    /// The newest one that was dropped, and how many were in a row.
-    late: (u64, u32),
+    /// The newest one that was dropped, when it was received, and how many there were in a row.
+    late: (u64, u64, u32),
 }
 
 impl Sequence {
     fn new(first: u64) -> Sequence {
-        Sequence { highest: first, late: (0, 0) }
+        Sequence { highest: first, late: (0, 0, 0) }
     }
 
     /// Tells whether a heartbeat is newer than the ones before.
     ///
     /// The worker alone sends one heartbeat after the other, so several rising numbers in a row
     /// show that the highest one was not its own.
-    fn accept(&mut self, number: u64) -> bool {
-        let (late, count) = self.late;
-        let continues = late < number && MAX_LATE <= count;
+    fn accept(&mut self, now: u64, number: u64) -> bool {
+        let (late, received_at, count) = self.late;
+        let follows = late < number && received_at.saturating_add(LATE_INTERVAL_MS) <= now;
+        let continues = follows && MAX_LATE <= count;
         if self.highest < number || continues {
             *self = Sequence::new(number);
             return true;
         }
         if number < self.highest {
-            self.late = (number, if late < number { count + 1 } else { 1 });
+            self.late = (number, now, if follows { count + 1 } else { 1 });
         }
         false
     }
@@ -113,6 +116,12 @@
         &self.ended
     }
 
+    /// Returns the newest of the incarnations that have ended, below the one that runs; 0 for none.
+    pub fn all_ended_until(&self) -> u64 {
+        let running = self.worker.as_ref().map_or(u64::MAX, |worker| worker.incarnation);
+        self.ended.iter().copied().filter(|ended| *ended < running).max().unwrap_or(0)
+    }
+
     /// Tells whether an incarnation is the one that was proved to run.
     pub fn is_running(&self, id: &str, incarnation: u64) -> bool {
         let is_same = |worker: &Announcement| worker.id == id && worker.incarnation == incarnation;
@@ -142,7 +151,7 @@
     pub fn hear(&mut self, now: u64, announcement: Announcement, sequence: u64) -> Heard {
         if self.is_running(&announcement.id, announcement.incarnation) {
             let known = self.sequence.get_or_insert(Sequence::new(0));
-            if !known.accept(sequence) {
+            if !known.accept(now, sequence) {
                 return Heard::Nothing;
             }
             if announcement.ready {
@@ -158,7 +167,10 @@
         let (id, incarnation) = (&claim.announcement.id, claim.announcement.incarnation);
         match self.claims.iter().position(|known| known.is_for(id, incarnation)) {
             Some(index) if sequence < self.claims[index].sequence => {}
-            Some(index) => self.claims[index] = claim,
+            Some(index) => {
+                let refused_fence = self.claims[index].refused_fence;
+                self.claims[index] = Claim { refused_fence, ..claim };
+            }
             None => self.push_claim(claim),
         }
         Heard::Claim
@@ -196,8 +208,10 @@
     /// Keeps a claim that a call without an answer has neither proved nor refuted.
     pub fn keep(&mut self, claim: Claim) {
         let (id, incarnation) = (&claim.announcement.id, claim.announcement.incarnation);
-        if !self.claims.iter().any(|known| known.is_for(id, incarnation)) {
-            self.push_claim(claim);
+        match self.claims.iter_mut().find(|known| known.is_for(id, incarnation)) {
+            // Heard again during the examination.
+            Some(known) => known.refused_fence = claim.refused_fence,
+            None => self.push_claim(claim),
         }
     }
 
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -35,10 +35,10 @@
     let key = tables.worker_at(&report.node, inherited_bound);
     strike::apply_crashes(tables, now, key, report, &mut changes);
     apply_announcement(tables, now, key, report, &mut changes);
-    if report.ended_incarnation != 0 {
-        let has_ended = |run: &table::Run| {
-            report.has_ended(run.incarnation) && (run.seen_at.is_some() || run.is_inherited())
-        };
+    if report.ended_incarnation != 0 || !report.ended_incarnations.is_empty() {
+        // A run that was not listed yet may be on the next incarnation, see `carry_over`.
+        let has_ended =
+            |run: &table::Run| report.has_ended(run.incarnation) && run.seen_at.is_some();
         end_runs_where(tables, now, key, &mut changes, "worker has ended", has_ended);
     }
     let worker = &mut tables.workers[key];
--- a/lib/src/batch/order.rs
+++ b/lib/src/batch/order.rs
@@ -138,6 +138,8 @@
             run.is_stop_acknowledged = true;
             run.settled_at = Some(*at);
         }
+        // A run that was not listed yet may be on the next incarnation.
+        (false, Answer::Gone) if run.seen_at.is_none() => {}
         (false, Answer::Gone) => {
             tables.remove_run(key);
             tables.touch(order.task.instance.job);
--- a/lib/tests/batch_membership.rs
+++ b/lib/tests/batch_membership.rs
@@ -96,7 +96,12 @@
     let claim = take(&mut membership, 0);
     membership.keep_until_fence(claim, FENCE);
     assert_eq!(membership.take_claim(1, FENCE), None);
-    assert!(membership.take_claim(1, FENCE + 1).is_some());
+    membership.hear(1, announcement("i-1", 100), 2);
+    assert_eq!(membership.take_claim(1, FENCE), None, "heard again");
+    let claim = membership.take_claim(1, FENCE + 1).expect("a claim");
+    membership.hear(2, announcement("i-1", 100), 3);
+    membership.keep_until_fence(claim, FENCE + 1);
+    assert_eq!(membership.take_claim(2, FENCE + 1), None, "heard during the examination");
 }
 
 #[test]
@@ -119,6 +124,18 @@
     }
 }
 
+#[test]
+fn delayed_heartbeats() {
+    // Heartbeats that had waited while the agent was suspended made a draining worker ready.
+    let mut membership = running();
+    let draining = Announcement { ready: false, ..announcement("i-1", 100) };
+    membership.hear(1, draining.clone(), 20);
+    for number in 11..20 {
+        assert_eq!(membership.hear(5000, announcement("i-1", 100), number), Heard::Nothing);
+    }
+    assert_eq!(membership.worker(), Some(&draining));
+}
+
 #[test]
 fn foreign_sequence() {
     // One heartbeat with a high number hid all later ones.
@@ -126,7 +143,7 @@
     let draining = Announcement { ready: false, ..announcement("i-1", 100) };
     membership.hear(1, draining, u64::MAX);
     let heard: Vec<Heard> =
-        (11..16).map(|number| membership.hear(2, announcement("i-1", 100), number)).collect();
+        (11..16).map(|n| membership.hear(n * 1500, announcement("i-1", 100), n)).collect();
     assert!(heard.contains(&Heard::Announcement), "{heard:?}");
     assert!(membership.worker().is_some_and(|worker| worker.ready));
 }
