--- a/lib/tests/batch_ended.rs
+++ b/lib/tests/batch_ended.rs
@@ -1,6 +1,5 @@
 //! Runs whose worker has ended before its next incarnation is known.
 
-#[allow(dead_code)]
 mod batch_sim;
 
 use batch_sim::Simulation;
