review: case 7, a job given up after one crash of a worker

Cause: a start order that got no answer counts as a strike against its task when the worker turns out to have crashed, and a later crash then counts as two strikes. A task under which one worker has crashed once is given up.

Added: case 7 and the script's part in review/probe.

--- a/review/probe/src/main.rs
+++ b/review/probe/src/main.rs
@@ -1,6 +1,7 @@
 //! Plays one script case: `probe CASE DIRECTORY RECORD`. Exits with 1 if the rule was broken, 0 if it
 //! held, 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
 
+mod flap;
 mod fleet;
 mod gate;
 mod record;
@@ -36,6 +37,7 @@
     let record = Arc::new(Record::create(&PathBuf::from(record)));
     record.note(&format!("case {case}, disruption {}", if has_trouble { "on" } else { "off" }));
     let verdict = match case.as_str() {
+        "flap" => flap::play(&directory, record.clone(), has_trouble).await,
         "region" => region::play(&directory, record.clone(), has_trouble).await,
         other => Verdict::Unfit(format!("no case {other}")),
     };
