review: case 8, a task that crashes workers after a second is never given up

Cause: a crash counts against a run that has worked for a second or more only if no other run had just started on the worker. With ordinary short tasks around, the crashes of the task at fault never count.

Added: case 8 and the script's part in review/probe.

--- a/review/probe/src/fleet.rs
+++ b/review/probe/src/fleet.rs
@@ -197,10 +197,15 @@
 
     /// Starts a worker and its agent with the settings of `deploy/agent.ini`.
     pub async fn add_worker(&mut self, zone: &str) -> usize {
+        self.add_worker_in(zone, &format!("r-{zone}")).await
+    }
+
+    /// Starts a worker in a rack, and its agent.
+    pub async fn add_worker_in(&mut self, zone: &str, rack: &str) -> usize {
         let index = self.workers.len();
         let profile = Profile {
             id: format!("i-{index}"),
-            rack: format!("r-{zone}"),
+            rack: rack.to_owned(),
             data_centre: zone.to_owned(),
             clock_permille: 1000,
         };
--- a/review/probe/src/main.rs
+++ b/review/probe/src/main.rs
@@ -4,8 +4,10 @@
 mod flap;
 mod fleet;
 mod gate;
+mod rack;
 mod record;
 mod region;
+mod slow;
 mod twice;
 
 use std::env;
@@ -38,6 +40,8 @@
     record.note(&format!("case {case}, disruption {}", if has_trouble { "on" } else { "off" }));
     let verdict = match case.as_str() {
         "flap" => flap::play(&directory, record.clone(), has_trouble).await,
+        "slow" => slow::play(&directory, record.clone(), has_trouble).await,
+        "rack" => rack::play(&directory, record.clone(), has_trouble).await,
         "region" => region::play(&directory, record.clone(), has_trouble).await,
         other => Verdict::Unfit(format!("no case {other}")),
     };
