review: case 10, idle workers reserved for a gang that cannot start

Cause: a gang that finds no room reserves workers for 20 s, whatever time the runs that it waits for still take, and nothing else may use the idle ones among them.

Added: case 10 and the script's part in review/probe.

--- a/review/probe/src/main.rs
+++ b/review/probe/src/main.rs
@@ -7,6 +7,7 @@
 mod rack;
 mod record;
 mod region;
+mod reserved;
 mod slow;
 mod twice;
 
@@ -42,6 +43,7 @@
         "flap" => flap::play(&directory, record.clone(), has_trouble).await,
         "slow" => slow::play(&directory, record.clone(), has_trouble).await,
         "rack" => rack::play(&directory, record.clone(), has_trouble).await,
+        "reserved" => reserved::play(&directory, record.clone(), has_trouble).await,
         "region" => region::play(&directory, record.clone(), has_trouble).await,
         other => Verdict::Unfit(format!("no case {other}")),
     };
