leader: grants count from the last renewal, however the lease ends

Cause: a leader that cannot renew its lease granted until 8 s after the end of the lease, 9.4 s after its last renewal was sent. Its successor waits 8 s and the length of a grant from its takeover, which suffices only where the lease has run out by itself. One that ends early, by a refused connection, an offer whose answer is lost, a removed key or a loss in the store, leaves 1.4 s more.

Change: grants count from when the last successful renewal was sent, which precedes the end of the lease and so the takeover, whatever ended it. The successor's bound of 12.16 s stays, and so does a quick takeover after a refused connection. While the store is down for all, runs go on for 8 s from the last renewal, 1.4 s less than before. The chain's key names the lease of the newest term now, so that an entry that never knew the leader ends its lease too before it takes over; before, such a leader renewed beside it.

--- a/daemon/src/batch.rs
+++ b/daemon/src/batch.rs
@@ -11,6 +11,7 @@
 pub mod agent_state;
 pub mod agent_worker;
 pub mod arrival;
+pub mod chain;
 pub mod config_view;
 pub mod entry;
 pub mod event_log;
--- a/daemon/src/batch/keys.rs
+++ b/daemon/src/batch/keys.rs
@@ -4,7 +4,8 @@
 
 /// Key of the leader, attached to the leader's lease; its creation revision is the fencing token.
 pub const LEADER: &str = "lavendergauge/lead";
-/// Key that each write of a planner replaces, so that a write that the store executes late fails.
+/// Key that each write of a planner replaces, so that a write that the store executes late fails; see
+/// [`crate::batch::chain`].
 pub const CHAIN: &str = "lavendergauge/chain";
 /// Key of what the leader has learned, for the next leader.
 pub const LEARNED: &str = "lavendergauge/learned";
--- a/daemon/src/batch/leader.rs
+++ b/daemon/src/batch/leader.rs
@@ -27,6 +27,7 @@
 use tokio::task::JoinSet;
 use tokio::time;
 
+use crate::batch::chain;
 use crate::batch::entry::Entry;
 use crate::batch::keys;
 use crate::batch::planner;
@@ -83,9 +84,10 @@
     pub deposed: Notify,
     /// Notified when a write of the planner failed, so that the lease is renewed at once.
     pub store_failed: Notify,
-    lease: u64,
-    /// [`Lease::valid_until`], in milliseconds.
-    lease_valid_until: AtomicU64,
+    /// The lease that the leader's key is attached to.
+    pub lease: u64,
+    /// [`Lease::confirmed_at`], in milliseconds.
+    lease_confirmed_at: AtomicU64,
 }
 
 impl Term {
@@ -102,13 +104,13 @@
     }
 
     fn lease(&self) -> Lease {
-        Lease { valid_until: Millis(self.lease_valid_until.load(Ordering::Relaxed)) }
+        Lease { confirmed_at: Millis(self.lease_confirmed_at.load(Ordering::Relaxed)) }
     }
 
     /// Extends the validity of the lease by a grant or renewal that was sent at `sent_at`.
     fn confirm_lease(&self, sent_at: Millis) {
         let lease = Lease::confirmed(sent_at);
-        self.lease_valid_until.store(lease.valid_until.0, Ordering::Relaxed);
+        self.lease_confirmed_at.store(lease.confirmed_at.0, Ordering::Relaxed);
     }
 }
 
@@ -162,7 +164,7 @@
                 time::sleep(succession::delay(&own, &entry.roster.peers(&entry))).await;
             }
             // Another writer may have removed the key, which leaves the lease of its leader valid.
-            None if !end_known_leader(&entry).await => time::sleep(PAUSE).await,
+            None if !end_earlier_leases(&entry).await => time::sleep(PAUSE).await,
             None => match acquire(&entry).await {
                 Ok(Some(term)) => {
                     let fence = term.fence;
@@ -186,13 +188,25 @@
     }
 }
 
-/// Ends the lease of the leader that was known last, if there is one; returns whether it has ended.
-async fn end_known_leader(entry: &Entry) -> bool {
-    let lease = entry.leader.borrow().as_ref().map(|leader| leader.lease);
-    match lease {
-        Some(lease) => end_lease(&entry.store, lease, DEADLINE).await,
-        None => true,
+/// Ends the leases of the leader that was known last and of the newest one, which this entry may never
+/// have known; returns whether they have ended.
+///
+/// A leader that can still renew its lease would grant beside its successor.
+async fn end_earlier_leases(entry: &Entry) -> bool {
+    let known = entry.leader.borrow().as_ref().map(|leader| leader.lease);
+    let newest = match entry.store.read(keys::CHAIN, DEADLINE).await {
+        Ok(item) => item.and_then(|item| chain::lease_of(&item.value)),
+        Err(error) => {
+            log::warn!("event=chain-unknown cause={}", Value(&error.to_string()));
+            return false;
+        }
+    };
+    for lease in known.into_iter().chain(newest.filter(|lease| known != Some(*lease))) {
+        if !end_lease(&entry.store, lease, DEADLINE).await {
+            return false;
+        }
     }
+    true
 }
 
 /// Revokes a leader's lease; returns whether it has ended.
@@ -299,7 +313,7 @@
         conditions: vec![(keys::LEADER.to_owned(), 0)],
         puts: vec![
             Put { key: keys::LEADER.to_owned(), value, lease },
-            Put { key: keys::CHAIN.to_owned(), value: lease.to_string().into(), lease: 0 },
+            Put { key: keys::CHAIN.to_owned(), value: chain::mark(lease, 0).into(), lease: 0 },
         ],
         removals: Vec::new(),
     };
@@ -322,7 +336,7 @@
         deposed: Notify::new(),
         store_failed: Notify::new(),
         lease,
-        lease_valid_until: AtomicU64::new(0),
+        lease_confirmed_at: AtomicU64::new(0),
     };
     term.confirm_lease(sent_at);
     entry.leader.send_replace(Some(leader));
--- a/daemon/src/batch/record_writer.rs
+++ b/daemon/src/batch/record_writer.rs
@@ -16,6 +16,7 @@
 use metrics::counter;
 use tokio::time;
 
+use crate::batch::chain;
 use crate::batch::entry::Entry;
 use crate::batch::keys;
 use crate::batch::leader::Term;
@@ -107,7 +108,7 @@
             }
         }
         serial += 1;
-        let mark = format!("{}.{serial}", term.fence);
+        let mark = chain::mark(term.lease, serial);
         let deadline = DEADLINE + Duration::from_millis(batch.bytes() as u64 / MIN_LINK_RATE);
         let Batch { versions, puts, removals } = batch;
         match write(entry, term, &mut chain_revision, &mark, puts, removals, deadline).await {
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -44,8 +44,9 @@
 
 /// Time for which a worker's tasks may go on running after a grant without another one.
 pub const GRANT: Duration = Duration::from_millis(4000);
-/// Time for which a planner that cannot renew its own lease continues to grant.
-pub const GRANT_AFTER_LEASE: Duration = Duration::from_millis(8000);
+/// Time for which a planner that cannot renew its own lease continues to grant, from when the last
+/// renewal that succeeded was sent.
+pub const GRANT_AFTER_RENEWAL: Duration = Duration::from_millis(8000);
 /// Share of full speed at which a run works unless it is ordered otherwise, in percent.
 const FULL_PACE: u32 = 100;
 /// Most tasks and steps of a job in occurrences that have begun, unless set otherwise.
@@ -67,12 +68,15 @@
 
 /// Returns the time after a takeover at which all grants of an earlier planner have expired.
 ///
+/// The earlier planner's last renewal was sent before its lease ended, and its lease before the
+/// takeover. So this holds whether the lease ran out, was revoked or was lost in the store.
+///
 /// ```
 /// use lavendergauge_lib::batch::table;
 /// assert!(table::takeover_bound() > table::grant_bound());
 /// ```
 pub fn takeover_bound() -> Duration {
-    GRANT_AFTER_LEASE + grant_bound()
+    GRANT_AFTER_RENEWAL + grant_bound()
 }
 
 /// Why a run is to stop.
--- a/lib/tests/batch_leadership.rs
+++ b/lib/tests/batch_leadership.rs
@@ -43,7 +43,18 @@
     let lease = Lease::confirmed(SENT_AT);
     let after_lease = SENT_AT + leadership::LEASE;
     assert!(lease.can_grant(after_lease) && !lease.can_order(after_lease));
-    assert!(!lease.can_grant(after_lease + table::GRANT_AFTER_LEASE));
+    assert!(!lease.can_grant(SENT_AT + table::GRANT_AFTER_RENEWAL));
+}
+
+#[test]
+fn early_end() {
+    // A leader whose lease ended right after a renewal, and which could not learn that, granted beyond
+    // the time at which its successor started the tasks again.
+    let lease = Lease::confirmed(SENT_AT);
+    let last = (SENT_AT.0..SENT_AT.0 + 60_000).rfind(|ms| lease.can_grant(Millis(*ms)));
+    let last = last.map(Millis).expect("a time at which it may grant");
+    let took_over = SENT_AT;
+    assert!(last + table::grant_bound() <= took_over + table::takeover_bound(), "{last:?}");
 }
 
 #[test]
