overdue: a step that waits beside an idle fleet is placed after 2 s

Cause: a step waits for room at full speed for half of what the slowdown costs, which grows with its estimate without a bound. Other rules that prefer some workers (fast, proven, without failures, not paused, not reserved) have bounds of their own or none, and none knows how long the step has waited in all.

Change: one clock for each waiting step, which runs while its job has nothing running, under half of its service is in use and there is room for it twice over; for a task that lasts, while there is room. After 2 s (2.5 s for a last attempt) the step is placed wherever it may run, also on what is reserved for a gang that cannot start.

--- a/daemon/src/batch/event_log.rs
+++ b/daemon/src/batch/event_log.rs
@@ -40,6 +40,15 @@
                 instance.step
             );
         }
+        Event::Overdue(instance, waited) => {
+            counter!("lavendergauge_steps_overdue_total").increment(1);
+            log::info!(
+                "event=step-overdue job={} step={} held_back_ms={}",
+                instance.job,
+                instance.step,
+                waited.as_millis()
+            );
+        }
         Event::Waiting(instance, wait) => log::info!(
             "event=step-waits job={} step={} away={} paused={} evacuated={} unfit={} avoided={} \
              full={} reserved={} open={} quarantined={}",
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -30,6 +30,7 @@
 pub mod occupancy;
 pub mod omission;
 pub mod order;
+pub mod overdue;
 pub mod pace;
 pub mod place;
 pub mod policy;
--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -12,8 +12,10 @@
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
 use crate::batch::occupancy;
+use crate::batch::overdue;
 use crate::batch::place;
 use crate::batch::place::Availability;
+use crate::batch::place::Placements;
 use crate::batch::quarantine;
 use crate::batch::rank;
 use crate::batch::rank::Candidate;
@@ -45,6 +47,7 @@
     if tables.waiting.is_empty() {
         tables.reservations.clear();
         tables.claims.clear();
+        tables.held_back.clear();
         tables.examined.clear();
         tables.explained.clear();
         if tables.refills.is_empty() {
@@ -62,12 +65,14 @@
         candidates.iter().map(|candidate| candidate.instance).collect();
     tables.reservations.retain(|instance, _| waiting.contains(instance));
     tables.claims.retain(|instance, _| waiting.contains(instance));
+    tables.held_back.retain(|instance, _| waiting.contains(instance));
     tables.examined.retain(|instance, _| waiting.contains(instance));
     tables.explained.retain(|instance, _| waiting.contains(instance));
     tables.trust.retain(&waiting);
     occupancy::note(tables, now, candidates.len(), events);
     let examinations = reservation::Examinations::new(tables, now, &candidates);
     let forecasts = backfill::forecasts(tables, now);
+    let mut busy = overdue::Busy::default();
     for candidate in &candidates {
         let Some(step) = tables.step(candidate.instance).cloned() else { continue };
         availability.set_yielding(tables, now, headroom::yields(now, candidate));
@@ -87,19 +92,32 @@
             }
         }
         if placed != Placed::All {
-            let passed = backfill::passable(tables, now, &forecasts, candidate, &step);
+            let passed = backfill::passable(tables, now, &forecasts, candidate, &step, false);
             if !passed.is_empty() {
                 let remaining = still_waiting(tables, candidate);
                 let more = over(tables, &mut availability, &passed, |tables, availability| {
                     place(tables, now, availability, &remaining, &step, events)
                 });
                 if more != Placed::None {
-                    backfill::note_passed(tables, now, candidate.instance, &passed);
+                    backfill::note_passed(tables, now, candidate.instance, &passed, false);
                     events.push(Event::Backfilled(candidate.instance, passed.len()));
                     placed = more;
                 }
             }
         }
+        if placed != Placed::None {
+            tables.held_back.remove(&candidate.instance);
+        } else if overdue::is_due(tables, now, &mut busy, candidate, &step) {
+            let passed = backfill::passable(tables, now, &forecasts, candidate, &step, true);
+            placed = over(tables, &mut availability, &passed, |tables, availability| {
+                overdue::place(tables, now, availability, candidate, &step, events)
+            });
+            if placed != Placed::None {
+                backfill::note_passed(tables, now, candidate.instance, &passed, true);
+                let since = tables.held_back.remove(&candidate.instance).unwrap_or(now);
+                events.push(Event::Overdue(candidate.instance, now.since(since)));
+            }
+        }
         let reservation = match placed {
             Placed::All => {
                 tables.reservations.remove(&candidate.instance);
@@ -117,7 +135,10 @@
             Placed::None => None,
         };
         if let Some(reservation) = reservation {
-            availability.reserve(&step, &reservation.placements);
+            let placements = reservation.placements.clone();
+            if !backfill::reclaim(tables, now, &mut availability, candidate, &step, events) {
+                availability.reserve(&step, &placements);
+            }
             continue;
         }
         if let Some(wait) = wait::explain(tables, now, &availability, candidate, &step) {
@@ -157,7 +178,7 @@
 }
 
 /// Places as many tasks of a candidate as there is capacity for; a gang as a whole.
-fn place(
+pub(super) fn place(
     tables: &mut Tables,
     now: Millis,
     availability: &Availability,
@@ -176,14 +197,14 @@
 
 /// How many of a step's waiting tasks were placed.
 #[token]
-enum Placed {
+pub(super) enum Placed {
     None,
     Some,
     All,
 }
 
 impl Placed {
-    fn count(placed: usize, candidate: &Candidate) -> Placed {
+    pub(super) fn count(placed: usize, candidate: &Candidate) -> Placed {
         match placed {
             0 => Placed::None,
             placed if placed == candidate.waiting.len() => Placed::All,
@@ -287,19 +308,58 @@
     };
     let Some((tier, placements)) = found.or_else(slowed) else { return Placed::None };
     note_tier(&tiers, tier, instance, events);
-    let Some(task_states) = task_states(tables, instance) else { return Placed::None };
-    let number = task_states.iter().map(|task_state| task_state.run).max().unwrap_or(0) + 1;
     events.extend(trust::explain_placement(tables, now, candidate, step, &pool));
+    plan_gang(tables, now, instance, placements, tier.workers.len(), near, events);
+    Placed::All
+}
+
+/// Plans the runs of a gang; `choices` is the number of workers that could have been chosen.
+pub(super) fn plan_gang(
+    tables: &mut Tables,
+    now: Millis,
+    instance: StepInstance,
+    placements: Placements,
+    choices: usize,
+    near: bool,
+    events: &mut Vec<Event>,
+) {
+    let Some(task_states) = task_states(tables, instance) else { return };
+    let number = task_states.iter().map(|task_state| task_state.run).max().unwrap_or(0) + 1;
     let mut index = 0;
     for (worker, count) in placements {
         for _ in 0..count {
             let task = Task { instance, index };
             plan_run(tables, now, task, number, worker);
-            events.push(placed_event(tables, task, number, worker, tier.workers.len(), near));
+            events.push(placed_event(tables, task, number, worker, choices, near));
             index += 1;
         }
     }
-    Placed::All
+}
+
+/// Plans runs of tasks that run on their own, and returns their number; `choices` is the number of
+/// workers that could have been chosen.
+#[allow(clippy::too_many_arguments)]
+pub(super) fn plan_tasks(
+    tables: &mut Tables,
+    now: Millis,
+    instance: StepInstance,
+    waiting: &mut impl Iterator<Item = u32>,
+    placements: Placements,
+    choices: usize,
+    near: bool,
+    events: &mut Vec<Event>,
+) -> usize {
+    let mut placed = 0;
+    for (worker, count) in placements {
+        for index in waiting.by_ref().take(count as usize) {
+            let task = Task { instance, index };
+            let number = tables.task_state(task).map_or(1, |task_state| task_state.run + 1);
+            plan_run(tables, now, task, number, worker);
+            events.push(placed_event(tables, task, number, worker, choices, near));
+            placed += 1;
+        }
+    }
+    placed
 }
 
 /// Places as many of the waiting tasks as there is capacity for.
@@ -380,15 +440,9 @@
         if !placements.is_empty() {
             note_tier(&tiers, tier, instance, events);
         }
-        for (worker, count) in placements {
-            for index in waiting.by_ref().take(count as usize) {
-                let task = Task { instance, index };
-                let number = tables.task_state(task).map_or(1, |task_state| task_state.run + 1);
-                plan_run(tables, now, task, number, worker);
-                events.push(placed_event(tables, task, number, worker, tier.workers.len(), near));
-                placed += 1;
-            }
-        }
+        let choices = tier.workers.len();
+        placed +=
+            plan_tasks(tables, now, instance, &mut waiting, placements, choices, near, events);
     }
     placed
 }
--- a/lib/src/batch/backfill.rs
+++ b/lib/src/batch/backfill.rs
@@ -2,8 +2,11 @@
 //!
 //! The load that this answers: a gang needs more workers than are free, and the runs on the others
 //! last for minutes. What is reserved for the gang would be idle all that time. A step that is expected
-//! to end before the gang can start is placed there at once.
+//! to end before the gang can start is placed there at once; one that is
+//! [overdue](crate::batch::overdue) is placed there too. If the gang waits for nothing but such runs in
+//! the end, they are stopped for it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use lavendergauge_derive::row;
@@ -11,13 +14,19 @@
 use smallvec::SmallVec;
 
 use crate::batch::assign;
+use crate::batch::event::Event;
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
+use crate::batch::observe;
 use crate::batch::place;
+use crate::batch::place::Availability;
+use crate::batch::preempt;
 use crate::batch::rank;
 use crate::batch::rank::Candidate;
 use crate::batch::reservation;
 use crate::batch::run_time;
+use crate::batch::speed;
+use crate::batch::table::Cause;
 use crate::batch::table::Phase;
 use crate::batch::table::Reservation;
 use crate::batch::table::Run;
@@ -26,11 +35,20 @@
 use crate::key;
 use crate::resource::Resources;
 
+/// Time for which a step waits for runs that were placed on what it had reserved before they are
+/// stopped.
+const RECLAIM_AFTER: Duration = Duration::from_secs(20);
+/// Time for which a reservation that can be used is left to its step: the step is placed in the same
+/// tick, unless something other than room keeps it from its place.
+const USABLE_GRACE: Duration = Duration::from_millis(500);
+
 /// Runs that were placed on what a waiting step had reserved, over all of its reservations.
 #[row]
 #[derive(Default)]
 pub struct Claim {
     runs: SmallVec<[key::Run; 8]>,
+    /// Since when the step has given way to overdue ones; `None` before.
+    since: Option<Millis>,
 }
 
 /// When a step can use what is reserved for it.
@@ -39,16 +57,29 @@
     instance: StepInstance,
     /// `None` if the runs that are in the way do not end by themselves.
     ready_at: Option<Millis>,
+    /// Whether the step should have been placed by now.
+    is_stale: bool,
 }
 
 /// Forecasts when each reservation can be used, except those that nothing else may use.
-pub(super) fn forecasts(tables: &Tables, now: Millis) -> SmallVec<[Forecast; 4]> {
-    let is_open = |(_, reservation): &(&StepInstance, &Reservation)| !reservation.is_firm;
-    let forecast = |(instance, reservation): (&StepInstance, &Reservation)| Forecast {
-        instance: *instance,
-        ready_at: ready_in(tables, now, *instance, reservation).map(|wait| now + wait),
-    };
-    tables.reservations.iter().filter(is_open).map(forecast).collect()
+pub(super) fn forecasts(tables: &mut Tables, now: Millis) -> SmallVec<[Forecast; 4]> {
+    let mut forecasts = SmallVec::new();
+    let instances: SmallVec<[StepInstance; 4]> = tables.reservations.keys().copied().collect();
+    for instance in instances {
+        let Some(reservation) = tables.reservations.get(&instance) else { continue };
+        if reservation.is_firm {
+            continue;
+        }
+        let ready_in = ready_in(tables, now, instance, reservation);
+        let Some(reservation) = tables.reservations.get_mut(&instance) else { continue };
+        reservation.usable_since = match ready_in {
+            Some(Duration::ZERO) => Some(reservation.usable_since.unwrap_or(now)),
+            _ => None,
+        };
+        let is_stale = reservation.usable_since.is_some_and(|at| USABLE_GRACE <= now.since(at));
+        forecasts.push(Forecast { instance, ready_at: ready_in.map(|wait| now + wait), is_stale });
+    }
+    forecasts
 }
 
 /// Tells whether a step can use what is reserved for it at some time.
@@ -122,13 +153,14 @@
 }
 
 /// Returns the reservations of other steps that a step may use: it is expected to end before they can
-/// be used.
+/// be used, or it is overdue.
 pub(super) fn passable(
     tables: &Tables,
     now: Millis,
     forecasts: &[Forecast],
     candidate: &Candidate,
     step: &Step,
+    is_overdue: bool,
 ) -> SmallVec<[StepInstance; 2]> {
     let Some(job) = tables.jobs.get(&candidate.instance.job) else { return SmallVec::new() };
     if forecasts.is_empty() {
@@ -137,20 +169,32 @@
     let length = run_time::expected_ms(tables, job, step, run_time::USUAL);
     let ends_at = (!step.long_running).then(|| now + Duration::from_millis(length));
     let is_passable = |forecast: &&Forecast| {
+        let is_usable = forecast.ready_at.is_some_and(|at| at <= now);
         forecast.instance != candidate.instance
             && tables.reservations.contains_key(&forecast.instance)
-            && ends_at
-                .is_some_and(|ends_at| forecast.ready_at.is_none_or(|ready_at| ends_at <= ready_at))
+            && match (is_overdue, forecast.ready_at, ends_at) {
+                (true, _, _) => !is_usable || forecast.is_stale,
+                (false, Some(ready_at), Some(ends_at)) => ends_at <= ready_at,
+                (false, None, Some(_)) => true,
+                (false, _, None) => false,
+            }
     };
     forecasts.iter().filter(is_passable).map(|forecast| forecast.instance).collect()
 }
 
+/// Tells whether a step has given way to overdue ones, which may last. It keeps its reservation then,
+/// and is placed before others that come later.
+pub(super) fn has_given_way(tables: &Tables, instance: StepInstance) -> bool {
+    tables.claims.get(&instance).is_some_and(|claim| claim.since.is_some())
+}
+
 /// Records that runs of a step which were planned in this tick use what is reserved for others.
 pub(super) fn note_passed(
     tables: &mut Tables,
     now: Millis,
     instance: StepInstance,
     passed: &[StepInstance],
+    is_overdue: bool,
 ) {
     let Some(task_states) = assign::task_states(tables, instance) else { return };
     let is_new = |key: &key::Run| {
@@ -173,5 +217,58 @@
         let claim = tables.claims.entry(*reserving).or_default();
         claim.runs.retain(|key| tables.runs.contains_key(*key));
         claim.runs.extend(if is_gang { runs.clone() } else { on_reserved });
+        if is_overdue {
+            claim.since.get_or_insert(now);
+        }
+    }
+}
+
+/// Stops runs that were placed on what a gang had reserved, if it has waited for them for long and
+/// needs nothing else; tells whether it has.
+pub(super) fn reclaim(
+    tables: &mut Tables,
+    now: Millis,
+    availability: &mut Availability,
+    candidate: &Candidate,
+    step: &Step,
+    events: &mut Vec<Event>,
+) -> bool {
+    let Some(claim) = tables.claims.get_mut(&candidate.instance) else { return false };
+    let (tables_runs, is_due) =
+        (&tables.runs, claim.since.is_some_and(|at| RECLAIM_AFTER <= now.since(at)));
+    claim.runs.retain(|key| tables_runs.contains_key(*key));
+    let runs = claim.runs.clone();
+    if !step.gang || !is_due || runs.is_empty() {
+        return false;
+    }
+    let tasks: BTreeSet<_> =
+        runs.iter().filter_map(|key| tables.runs.get(*key)).map(|run| run.task).collect();
+    let price = |step: &Step, run: &Run| {
+        tasks.contains(&run.task).then(|| preempt::lost_work(step, run, now))
+    };
+    let pool = assign::pool(tables, now, availability, candidate, step);
+    let pool = speed::targets(tables, now, candidate, step, &pool);
+    let (groups, _) = place::full_speed_groups(tables, &pool, step);
+    let instance = candidate.instance;
+    let Some(plan) = preempt::cheapest(tables, availability, instance, step.tasks, &groups, price)
+    else {
+        return false;
+    };
+    for task in &plan.victims {
+        let Some(run) = tables.run_of(*task) else { continue };
+        if place::is_ending(run.phase) {
+            continue;
+        }
+        events.push(Event::Preempted { task: *task, run: run.number, by: instance.job });
+        tables.stop_task(*task, Cause::Preempted);
+        observe::break_gang(tables, *task);
+    }
+    let since = tables.reservations.get(&instance).map_or(now, |reservation| reservation.since);
+    reservation::reserve(tables, now, availability, candidate, step, plan.placements, events);
+    if let Some(reservation) = tables.reservations.get_mut(&instance) {
+        reservation.since = since;
+        reservation.has_preempted = true;
+        reservation.is_firm = true;
     }
+    true
 }
--- a/lib/src/batch/event.rs
+++ b/lib/src/batch/event.rs
@@ -77,6 +77,8 @@
     Reserved(StepInstance, usize),
     /// A step is placed on what is reserved for a number of other steps, before these can use it.
     Backfilled(StepInstance, usize),
+    /// A step that was held back beside free room for this long is placed wherever it can run.
+    Overdue(StepInstance, Duration),
     /// A step finds no place; the numbers of workers by cause.
     Waiting(StepInstance, Wait),
     /// The ratio of run times to estimates that is assumed for an account in a queue has changed.
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -43,18 +43,19 @@
 impl Availability {
     /// Reads the workers that take new work and the reservations from the tables.
     pub fn of(tables: &Tables, now: Millis) -> Availability {
-        let takes_work = |(_, worker): &(key::Worker, &Worker)| {
-            takes_work(worker, now)
-                && worker.quarantine.is_none()
-                && worker.paused_until <= now
-                && !tables.evacuated.contains(&worker.data_centre)
-        };
-        let takers = tables.workers.iter().filter(takes_work).map(|(key, _)| key).collect();
+        let takers = takers(tables, now, false);
         let mut availability = Availability { takers, ..Availability::default() };
         availability.reserve_steps(tables, tables.reservations.keys());
         availability
     }
 
+    /// Returns the same with the workers that are paused after refusals.
+    pub(super) fn with_paused(&self, tables: &Tables, now: Millis) -> Availability {
+        let mut availability = self.clone();
+        availability.takers = takers(tables, now, true);
+        availability
+    }
+
     /// Sets whether the next step leaves workers free for more urgent ones.
     pub fn set_yielding(&mut self, tables: &Tables, now: Millis, is_yielding: bool) {
         self.is_yielding = is_yielding;
@@ -156,6 +157,17 @@
     }
 }
 
+/// Returns the workers that take new work, maybe with those that are paused after refusals.
+fn takers(tables: &Tables, now: Millis, includes_paused: bool) -> Vec<key::Worker> {
+    let is_taker = |(_, worker): &(key::Worker, &Worker)| {
+        takes_work(worker, now)
+            && worker.quarantine.is_none()
+            && (includes_paused || worker.paused_until <= now)
+            && !tables.evacuated.contains(&worker.data_centre)
+    };
+    tables.workers.iter().filter(is_taker).map(|(key, _)| key).collect()
+}
+
 /// Returns the number of tasks of a step that have a run on a worker.
 pub fn tasks_on(tables: &Tables, instance: StepInstance, worker: key::Worker) -> u32 {
     let Some(row) = tables.workers.get(worker) else { return 0 };
--- a/lib/src/batch/reservation.rs
+++ b/lib/src/batch/reservation.rs
@@ -78,7 +78,7 @@
     if !step.gang
         || MAX_RESERVED_STEPS <= reserved_steps
         || now.since(candidate.since) < RESERVE_AFTER
-        || !shortage::may_reserve(tables, now, candidate)
+        || !may_reserve(tables, now, candidate)
     {
         return;
     }
@@ -91,6 +91,11 @@
     reserve(tables, now, availability, candidate, step, plan.placements, events);
 }
 
+fn may_reserve(tables: &Tables, now: Millis, candidate: &Candidate) -> bool {
+    shortage::may_reserve(tables, now, candidate)
+        || backfill::has_given_way(tables, candidate.instance)
+}
+
 /// Renews the reservation of a step that still waits, if it has one; tells whether it has one then.
 ///
 /// It is renewed on the same workers, so that others do not take a part of the capacity in between,
@@ -106,7 +111,7 @@
         return true;
     }
     let is_useful = backfill::becomes_usable(forecasts, candidate.instance)
-        && shortage::may_reserve(tables, now, candidate);
+        && may_reserve(tables, now, candidate);
     if !is_useful {
         tables.reservations.remove(&candidate.instance);
     } else if let Some(reservation) = tables.reservations.get_mut(&candidate.instance) {
@@ -382,6 +387,7 @@
         renewed_at: now,
         has_preempted: false,
         is_firm: false,
+        usable_since: None,
     };
     tables.reservations.insert(candidate.instance, reservation);
 }
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -471,6 +471,8 @@
     /// Whether nothing else may use what is reserved: runs are being stopped for the step, or it is
     /// guaranteed and may stop runs at any time.
     pub is_firm: bool,
+    /// Since when what is reserved can be used; `None` while runs are in the way.
+    pub usable_since: Option<Millis>,
 }
 
 /// Stored record of a job that was refused, or cancelled before its submission.
@@ -509,6 +511,9 @@
     pub reservations: BTreeMap<StepInstance, Reservation>,
     /// Runs that use what waiting steps had reserved, by step.
     pub claims: BTreeMap<StepInstance, backfill::Claim>,
+    /// Since when a waiting step has been held back beside enough free room; see
+    /// [`crate::batch::overdue`].
+    pub held_back: BTreeMap<StepInstance, Millis>,
     /// Advice of the advice service by step.
     pub advice: BTreeMap<StepInstance, advice::StepAdvice>,
     /// Gangs in which the start of some members was refused while the others may run.
@@ -581,6 +586,7 @@
             nodes: HashMap::new(),
             reservations: BTreeMap::new(),
             claims: BTreeMap::new(),
+            held_back: BTreeMap::new(),
             advice: BTreeMap::new(),
             refills: BTreeMap::new(),
             examined: BTreeMap::new(),
--- a/lib/src/batch/trust.rs
+++ b/lib/src/batch/trust.rs
@@ -568,6 +568,23 @@
     exclude(tables, pool, max_excluded(pool.len()), is_excluded)
 }
 
+/// Returns the workers of a pool that are not suspected of anything.
+pub(super) fn unsuspected(tables: &Tables, now: Millis, pool: &[key::Worker]) -> Vec<key::Worker> {
+    let is_suspected = |key: &key::Worker| tables.workers[*key].trust.suspicion(now).is_some();
+    pool.iter().copied().filter(|key| !is_suspected(key)).collect()
+}
+
+/// Returns for how long a step waits for workers that are certain enough for its last attempt; `None`
+/// if it has more attempts.
+pub(super) fn last_attempt_wait(
+    tables: &Tables,
+    candidate: &Candidate,
+    step: &Step,
+) -> Option<Duration> {
+    let is_last = tables.policy.worker_trust && is_last_attempt(tables, candidate, step);
+    is_last.then_some(LAST_ATTEMPT_WAIT)
+}
+
 /// Returns how many of a number of workers may be excluded; at least one, so that a fault of one
 /// worker among few is avoided too.
 fn max_excluded(count: usize) -> usize {
