strike: a start without an answer is no crash under its task

Cause: a start order that got no answer counts as one strike if its worker goes down, although the run may not have existed. The first crash under the task then counts as two, as for a task that has crashed a worker before, and three strikes give it up.

Change: crashes under starts without an answer are counted apart, and strikes give a task up only after two crashes under runs that certainly existed. Five crashes of either kind still do. The number is left out of the record while it is 0, so earlier versions read the record.

--- a/lib/src/batch/progress.rs
+++ b/lib/src/batch/progress.rs
@@ -24,9 +24,28 @@
     pub strikes: u32,
     /// Number of the newest run that is counted.
     pub run: u32,
+    /// Number of those under starts that got no answer, so that the task may not have run. It is left
+    /// out while it is 0, so that earlier versions read the others.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unconfirmed: u32,
+}
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 impl Crashes {
+    /// Returns the number of crashes under runs that certainly existed.
+    ///
+    /// ```
+    /// use lavendergauge_lib::batch::progress::Crashes;
+    /// let crashes = Crashes { count: 3, unconfirmed: 1, ..Crashes::default() };
+    /// assert_eq!(crashes.confirmed(), 2);
+    /// ```
+    pub fn confirmed(&self) -> u32 {
+        self.count.saturating_sub(self.unconfirmed)
+    }
+
     /// Tells whether no worker has crashed under the task.
     ///
     /// ```
--- a/lib/src/batch/strike.rs
+++ b/lib/src/batch/strike.rs
@@ -23,7 +23,6 @@
 use crate::batch::job::Id;
 use crate::batch::job::Step;
 use crate::batch::job::Task;
-use crate::batch::progress::Crashes;
 use crate::batch::progress::Outcome;
 use crate::batch::report::Report;
 use crate::batch::table::Tables;
@@ -31,8 +30,10 @@
 use crate::clock::Millis;
 use crate::key;
 
-/// Strikes from which a task is given up.
+/// Strikes from which a task is given up, if workers have certainly crashed under it.
 const MAX_STRIKES: u32 = 3;
+/// Number of crashes under runs that certainly existed from which strikes count.
+const MIN_CONFIRMED: u32 = 2;
 /// Crashes that a task may have caused from which it is given up whatever its strikes.
 const MAX_CRASHES: u32 = 5;
 /// Time for which a crash makes a worker's next one less conclusive.
@@ -145,14 +146,18 @@
 /// use lavendergauge_lib::batch::progress::Crashes;
 /// use lavendergauge_lib::batch::strike;
 /// use lavendergauge_lib::batch::table::TaskState;
-/// let crashes = Crashes { count: 2, strikes: 3, run: 2 };
+/// let crashes = Crashes { count: 2, strikes: 3, run: 2, unconfirmed: 0 };
 /// let task_state = TaskState { crashes, ..TaskState::default() };
 /// assert!(strike::is_at_fault(&task_state, &Step::default()));
+/// let crashes = Crashes { unconfirmed: 1, ..crashes };
+/// let task_state = TaskState { crashes, ..TaskState::default() };
+/// assert!(!strike::is_at_fault(&task_state, &Step::default()));
 /// ```
 pub fn is_at_fault(task_state: &TaskState, step: &Step) -> bool {
-    let Crashes { count, strikes, .. } = task_state.crashes;
+    let crashes = &task_state.crashes;
+    let is_struck = MAX_STRIKES <= crashes.strikes && MIN_CONFIRMED <= crashes.confirmed();
     // A task that runs until it is cancelled sees workers crash for other reasons in time.
-    MAX_STRIKES <= strikes || (MAX_CRASHES <= count && !step.long_running)
+    is_struck || (MAX_CRASHES <= crashes.count && !step.long_running)
 }
 
 /// Tells whether a task may crash its worker.
@@ -319,6 +324,7 @@
     }
     crashes.run = run.number;
     crashes.count += 1;
+    crashes.unconfirmed += u32::from(!run.is_confirmed);
     tables.touch(run.task.instance.job);
 }
 
--- a/lib/tests/batch_crash.rs
+++ b/lib/tests/batch_crash.rs
@@ -8,6 +8,7 @@
 use batch_sim::DOWN_MS;
 use batch_sim::Simulation;
 use batch_sim::step;
+use lavendergauge_lib::batch::crash::Ledger;
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::State;
 use lavendergauge_lib::batch::job::Step;
@@ -121,6 +122,29 @@
     assert_eq!(sim.state(id), Some(State::Completed));
 }
 
+#[test]
+fn doubted_start() {
+    // A job was given up after one crash, since a start in doubt had counted like a crash under it.
+    let mut sim = Simulation::new(1);
+    let busy = Step { max_per_worker: 1, ..step(2, 8, 60_000) };
+    sim.submit("plain", "praha", vec![busy], 60_000);
+    sim.run_for(100);
+    let id = sim.submit("plain", "brno", vec![step(1, 8, 3000)], 3000);
+    let index = sim.workers.iter().position(|worker| worker.runs.is_empty()).expect("an idle one");
+    sim.run_for(20);
+    assert!(sim.workers[index].runs.contains_key(&task(id, 0)));
+    sim.workers[index].ledger = Ledger::default();
+    sim.workers[index].ledger.begin_start(task(id, 0), 1, sim.now);
+    sim.crash(index);
+    sim.run_for(DOWN_MS + 500);
+    assert!(sim.workers[index].runs.contains_key(&task(id, 0)), "it starts again");
+    sim.crash(index);
+    sim.run_for(DOWN_MS + 200);
+    assert_ne!(sim.state(id), Some(State::Failed));
+    assert!(sim.run_until_ended(120_000));
+    assert_eq!(sim.state(id), Some(State::Completed));
+}
+
 #[test]
 fn sound_jobs() {
     // Workers that crash by turns take sound jobs down again and again.
