strike: crashes count against older runs until their cause is known

Cause: a crash counted against a run older than a second only if nothing had just started on the worker. Beside ordinary short tasks something always has, so the count of the task at fault stayed 0.

Change: a crash counts against all runs on the worker, against older ones without a strike. It is taken back from them when another task there is given up as the cause. Four such crashes give a task up instead of five: a worker that is down for longer than its lease is replaced before its crash is reported, so one more start may follow, and the rule allows two after the third crash.

--- a/lib/src/batch/strike.rs
+++ b/lib/src/batch/strike.rs
@@ -4,7 +4,8 @@
 //! started beside the one at fault, and those on workers that crash for other reasons, get strikes
 //! too. A task with strikes is therefore started again in [`quarantine`](crate::batch::quarantine),
 //! where it loses them by staying at work for [`PROBATION`], while another crash shows that it is at
-//! fault. See docs/design/crashes.md.
+//! fault. A crash also counts, without a strike, against the tasks that had worked there for longer,
+//! until another task turns out to be its cause. See docs/design/crashes.md.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -34,8 +35,9 @@
 const MAX_STRIKES: u32 = 3;
 /// Number of crashes under runs that certainly existed from which strikes count.
 const MIN_CONFIRMED: u32 = 2;
-/// Crashes that a task may have caused from which it is given up whatever its strikes.
-const MAX_CRASHES: u32 = 5;
+/// Crashes that a task may have caused from which it is given up whatever its strikes. After three
+/// crashes it may be started twice more, and one start may precede the report of the crash before it.
+const MAX_CRASHES: u32 = 4;
 /// Time for which a crash makes a worker's next one less conclusive.
 const UNSTABLE: Duration = Duration::from_secs(10);
 /// Number of crashes within [`UNSTABLE`] from which a worker counts as unstable.
@@ -63,6 +65,8 @@
     last_up: Millis,
     /// Jobs of which tasks had just started there.
     suspects: SmallVec<[Id; 2]>,
+    /// Tasks that had worked there for longer and against which the crash was counted.
+    counted: SmallVec<[Task; 4]>,
 }
 
 impl Incident {
@@ -81,6 +85,7 @@
             at: to_own_clock(crash.noticed_at),
             last_up: to_own_clock(crash.last_up_at),
             suspects,
+            counted: SmallVec::new(),
         }
     }
 
@@ -183,7 +188,7 @@
         }
         worker.crashed_incarnations.push(crash.incarnation);
         let node = worker.node.clone();
-        let incident = Incident::new(now, key, report, crash);
+        let mut incident = Incident::new(now, key, report, crash);
         let runs = one_for_each_task(crash);
         let evidence = evidence(tables, &incident);
         let suspects = runs.iter().filter(|run| run.has_just_started());
@@ -195,7 +200,9 @@
             evidence,
         });
         for run in runs {
-            record_crash(tables, now, run, &incident, evidence);
+            if record_crash(tables, now, run, evidence) && !run.has_just_started() {
+                incident.counted.push(run.task);
+            }
         }
         tables.crashes.remember(now, incident);
     }
@@ -296,18 +303,12 @@
     workers.len()
 }
 
-/// Counts a crash against a task, once for each run.
-fn record_crash(
-    tables: &mut Tables,
-    now: Millis,
-    run: &crash::Run,
-    incident: &Incident,
-    evidence: Evidence,
-) {
-    let Some(task_state) = tables.task_state_mut(run.task) else { return };
+/// Counts a crash against a task, once for each run; tells whether it was counted.
+fn record_crash(tables: &mut Tables, now: Millis, run: &crash::Run, evidence: Evidence) -> bool {
+    let Some(task_state) = tables.task_state_mut(run.task) else { return false };
     let crashes = &mut task_state.crashes;
     if task_state.done || run.number <= crashes.run {
-        return;
+        return false;
     }
     if run.has_just_started() {
         crashes.strikes = match evidence {
@@ -318,14 +319,30 @@
             Evidence::Partial | Evidence::Conclusive => crashes.strikes + 1,
         };
         task_state.crashed_at = now;
-    } else if !incident.is_unexplained() {
-        // Others are the more likely cause.
-        return;
     }
     crashes.run = run.number;
     crashes.count += 1;
     crashes.unconfirmed += u32::from(!run.is_confirmed);
     tables.touch(run.task.instance.job);
+    true
+}
+
+/// Takes back what crashes count against tasks that had worked for longer, where a task of a job that is
+/// given up had just started or worked beside them: that one was the cause.
+pub(super) fn explain(tables: &mut Tables, id: Id) {
+    let mut explained: SmallVec<[Task; 8]> = SmallVec::new();
+    for incident in &mut tables.crashes.incidents {
+        let is_of_job = |task: &Task| task.instance.job == id;
+        if incident.suspects.contains(&id) || incident.counted.iter().any(is_of_job) {
+            let counted = std::mem::take(&mut incident.counted);
+            explained.extend(counted.into_iter().filter(|task| !is_of_job(task)));
+        }
+    }
+    for task in explained {
+        let Some(task_state) = tables.task_state_mut(task) else { continue };
+        task_state.crashes.count = task_state.crashes.count.saturating_sub(1);
+        tables.touch(task.instance.job);
+    }
 }
 
 /// Clears a suspected task of its strikes if its run has stayed at work since it was first listed;
--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -171,7 +171,10 @@
         job.ended_ms = wall_ms;
         let crashes = failed.and_then(|task| Some((task, tables.task_state(task)?.crashes)));
         let given_up = crashes.filter(|(_, crashes)| !crashes.is_none());
-        events.extend(given_up.map(|(task, crashes)| Event::GivenUp(task, crashes)));
+        if let Some((task, crashes)) = given_up {
+            events.push(Event::GivenUp(task, crashes));
+            strike::explain(tables, id);
+        }
         events.push(Event::Ended(id, outcome));
     }
     tables.touch(id);
--- a/lib/tests/batch_crash.rs
+++ b/lib/tests/batch_crash.rs
@@ -145,6 +145,57 @@
     assert_eq!(sim.state(id), Some(State::Completed));
 }
 
+#[test]
+fn late_crash() {
+    // A task that crashes each worker a while after its start was started without end, since other tasks
+    // had just started beside it. A worker that is down for long is replaced before its crash is reported.
+    for down_ms in [DOWN_MS, 2 * DOWN_MS] {
+        let mut sim = Simulation::new(1);
+        let id = sim.submit("plain", "brno", vec![step(1, 2, 20_000)], 20_000);
+        let mut others = Vec::new();
+        while sim.submitted[&id].ended.is_none() && sim.now < 300_000 {
+            others.push(sim.submit("plain", "praha", vec![step(6, 1, 500)], 500));
+            for _ in 0..20 {
+                sim.run_for(20);
+                let is_due = |worker: &batch_sim::Worker| {
+                    let run = worker.runs.get(&task(id, 0));
+                    run.is_some_and(|run| run.began_at + 1500 <= sim.now)
+                };
+                if let Some(index) = sim.workers.iter().position(is_due) {
+                    sim.crash(index);
+                    sim.workers[index].down_until = sim.now + down_ms;
+                }
+            }
+        }
+        assert_eq!(sim.state(id), Some(State::Failed));
+        let starts = start_count(&sim, task(id, 0));
+        assert!(starts <= MOST_STARTS, "{starts} starts, {down_ms} ms");
+        assert!(sim.run_until_ended(60_000));
+        for other in others {
+            assert_eq!(sim.state(other), Some(State::Completed));
+        }
+    }
+}
+
+#[test]
+fn explained_crashes() {
+    // Crashes under a sound task that others have caused do not count against it any more once those
+    // are given up.
+    let mut sim = Simulation::new(1);
+    let busy = Step { max_per_worker: 1, ..step(2, 8, 200_000) };
+    sim.submit("plain", "praha", vec![busy], 200_000);
+    sim.run_for(100);
+    let sound = sim.submit("plain", "praha", vec![step(1, 4, 120_000)], 120_000);
+    for _ in 0..3 {
+        sim.run_for(2000);
+        let id = submit_crashing(&mut sim, "plain", vec![step(1, 4, 1000)]);
+        sim.run_for(4 * DOWN_MS);
+        assert_eq!(sim.state(id), Some(State::Failed));
+    }
+    let crashes = sim.tables.task_state(task(sound, 0)).expect("a task").crashes;
+    assert_eq!(crashes.count, 0, "{crashes:?}");
+}
+
 #[test]
 fn sound_jobs() {
     // Workers that crash by turns take sound jobs down again and again.
