supervise: the time without progress doubles with each stop for it

Cause: a run counts as stuck after 4 s or a tenth of its estimate without a whole percentage point, and nothing remembered that the run before it had been stopped for the same reason.

Change: that time doubles with each such stop of the task or gang, also where a worker is suspected to hang by it. The first run is judged as before.

--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -493,9 +493,11 @@
     let Some(job) = tables.jobs.get_mut(&task.instance.job) else { return };
     job.started = true;
     let version = job.version;
+    let mut stalls = 0;
     if let Some(task_state) = tables.task_state_mut(task) {
         task_state.run = number;
+        stalls = task_state.stalls;
     }
     let run = Run::new(task, number, worker, incarnation, Phase::Planned, now);
-    tables.insert_run(Run { version, ..run });
+    tables.insert_run(Run { version, stalls, ..run });
 }
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -370,6 +370,13 @@
     }
 }
 
+/// The stall of one member is the stall of its gang.
+pub(super) fn share_stalls(tables: &mut Tables, task: Task) {
+    let Some(task_states) = gang_members_mut(tables, task) else { return };
+    let stalls = task_states.iter().map(|task_state| task_state.stalls).max().unwrap_or(0);
+    task_states.iter_mut().for_each(|task_state| task_state.stalls = stalls);
+}
+
 /// A gang resumes from one checkpoint, whichever member saved it.
 fn share_checkpoint(tables: &mut Tables, task: Task) {
     if !tables.step(task.instance).is_some_and(|step| step.gang) {
--- a/lib/src/batch/records.rs
+++ b/lib/src/batch/records.rs
@@ -118,6 +118,7 @@
             crashes: task.crashes,
             crashed_at: Millis::default(),
             live: None,
+            stalls: 0,
             avoid: Default::default(),
         };
         let steps: Vec<Vec<TaskState>> =
--- a/lib/src/batch/supervise.rs
+++ b/lib/src/batch/supervise.rs
@@ -7,11 +7,13 @@
 use smallvec::SmallVec;
 
 use crate::batch::event::Event;
+use crate::batch::job::Task;
 use crate::batch::observe;
 use crate::batch::rank;
 use crate::batch::reservation;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
+use crate::batch::table::Run;
 use crate::batch::table::Tables;
 use crate::batch::trust;
 use crate::clock::Millis;
@@ -21,6 +23,8 @@
 const STUCK_AFTER: Duration = Duration::from_secs(4);
 /// Divisor of a task's estimate; a run counts as stuck after that time without progress.
 const STUCK_DIVISOR: u64 = 10;
+/// Maximum number of times that the time without progress doubles.
+const MAX_DOUBLINGS: u32 = 13;
 /// Time for which a leaving worker may stay beyond what it announced, in milliseconds. A run that
 /// saves no checkpoints is left there if it could end within it.
 const LEAVE_SLACK_MS: u64 = 1500;
@@ -40,6 +44,27 @@
     }
 }
 
+/// Returns a time without progress for a run. It doubles with each earlier run of the task that was
+/// stopped for lack of progress: the task may take far longer than estimated, and each run shows
+/// progress only after a hundredth of that.
+pub(super) fn patience(run: &Run, first: Duration) -> Duration {
+    first.saturating_mul(1 << run.stalls.min(MAX_DOUBLINGS))
+}
+
+/// Counts that a run of a task, and so of its gang, was stopped for lack of progress.
+fn record_stall(tables: &mut Tables, task: Task, worker: key::Worker) {
+    let is_gang = tables.step(task.instance).is_some_and(|step| step.gang);
+    if let Some(task_state) = tables.task_state_mut(task) {
+        task_state.stalls += 1;
+        if !task_state.avoid.contains(&worker) {
+            task_state.avoid.push(worker);
+        }
+    }
+    if is_gang {
+        observe::share_stalls(tables, task);
+    }
+}
+
 /// Stops runs that make no progress, so that they are started again elsewhere.
 ///
 /// Only the runs of `workers`, from which reports came, are judged: the progress of runs on a
@@ -60,7 +85,7 @@
             let Some(step) = tables.step(task.instance) else { continue };
             let limit =
                 STUCK_AFTER.max(Duration::from_millis(rank::estimated_ms(step) / STUCK_DIVISOR));
-            let limit = trust::stall_limit(tables, now, step, run, limit);
+            let limit = trust::stall_limit(tables, now, step, run, patience(run, limit));
             // A run that a partial list omits makes no progress either.
             let is_listed = run.seen_at.is_some() || has_partial_list;
             let working = run.phase == Phase::Running && is_listed && !step.long_running;
@@ -68,11 +93,7 @@
                 continue;
             }
             events.push(Event::Stopped(task, run.number, Cause::Stuck.name()));
-            if let Some(task_state) = tables.task_state_mut(task)
-                && !task_state.avoid.contains(&key)
-            {
-                task_state.avoid.push(key);
-            }
+            record_stall(tables, task, key);
             tables.stop_run(run_key, Cause::Stuck);
             observe::break_gang(tables, task);
             if let Some(worker) = tables.workers.get_mut(key) {
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -167,6 +167,8 @@
     pub seen_at: Option<Millis>,
     /// When `percent` last grew.
     pub progressed_at: Millis,
+    /// Number of earlier runs of the task that were stopped for lack of progress.
+    pub stalls: u32,
     /// Whether the worker acknowledged the stop order.
     pub is_stop_acknowledged: bool,
     /// The worker's measurement over the last half second: tail latency in milliseconds of a
@@ -208,6 +210,7 @@
             first_percent: 0,
             seen_at: None,
             progressed_at: since,
+            stalls: 0,
             is_stop_acknowledged: false,
             measure: 0,
             pace_percent: FULL_PACE,
@@ -238,6 +241,8 @@
     pub checkpoint: String,
     /// The newest run while it may exist.
     pub live: Option<key::Run>,
+    /// Number of its runs that were stopped for lack of progress; 0 under an earlier planner.
+    pub stalls: u32,
     /// Workers on which a run of the task failed or made no progress.
     pub avoid: SmallVec<[key::Worker; 2]>,
 }
--- a/lib/src/batch/trust.rs
+++ b/lib/src/batch/trust.rs
@@ -21,6 +21,7 @@
 use crate::batch::place::Availability;
 use crate::batch::rank;
 use crate::batch::rank::Candidate;
+use crate::batch::supervise;
 use crate::batch::table::Phase;
 use crate::batch::table::Run;
 use crate::batch::table::Tables;
@@ -519,11 +520,11 @@
 }
 
 /// Returns the time that a run is expected to take for one percentage point, by its own pace or
-/// else by the estimate.
+/// else by the estimate, of which each run that was stopped for lack of progress makes less certain.
 fn interval(step: &Step, run: &Run) -> Duration {
     match run.seen_at.filter(|_| has_pace(run)) {
         Some(seen_at) => run.progressed_at.since(seen_at) / (run.percent - run.first_percent),
-        None => Duration::from_millis(rank::estimated_ms(step)) / 100,
+        None => supervise::patience(run, Duration::from_millis(rank::estimated_ms(step)) / 100),
     }
 }
 
