backfill: runs that overrun on reserved workers are stopped in the end

A step that was expected to end before a gang could use its reserved workers may take far longer. The gang then waited for it alone, with the other reserved workers idle, for as long as it took.

Cause: only runs of overdue steps were stopped for the gang after 20 s.

Change: so are others that were placed on what it had reserved, 20 s after all other runs in its way have ended.

Evidence: overrun failed before and passes; all tests of the library pass.

--- a/lib/src/batch/backfill.rs
+++ b/lib/src/batch/backfill.rs
@@ -17,6 +17,7 @@
 use crate::batch::event::Event;
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
+use crate::batch::job::Task;
 use crate::batch::observe;
 use crate::batch::place;
 use crate::batch::place::Availability;
@@ -87,8 +88,8 @@
     forecasts.iter().any(|forecast| forecast.instance == instance && forecast.ready_at.is_some())
 }
 
-/// Returns after what time the tasks of a step fit on the workers that are reserved for it, if nothing
-/// but runs that were placed on its reservations starts there.
+/// Returns after what time the tasks of a step would fit on the workers that are reserved for it, if the
+/// runs that were placed on its reservations were not there.
 fn ready_in(
     tables: &Tables,
     now: Millis,
@@ -104,7 +105,7 @@
     Some(longest)
 }
 
-/// Returns after what time resources of a worker are free, apart from what the runs `ignored` hold.
+/// Returns after what time resources of a worker would be free if the runs `ignored` were not there.
 fn free_in(
     tables: &Tables,
     now: Millis,
@@ -223,8 +224,9 @@
     }
 }
 
-/// Stops runs that were placed on what a gang had reserved, if it has waited for them for long and
-/// needs nothing else; tells whether it has.
+/// Stops runs that were placed on what a gang had reserved, if it needs nothing else and has waited for
+/// long, since it gave way to overdue steps or since all other runs have ended; tells whether it has
+/// stopped them.
 pub(super) fn reclaim(
     tables: &mut Tables,
     now: Millis,
@@ -233,23 +235,26 @@
     step: &Step,
     events: &mut Vec<Event>,
 ) -> bool {
-    let Some(claim) = tables.claims.get_mut(&candidate.instance) else { return false };
-    let (tables_runs, is_due) =
-        (&tables.runs, claim.since.is_some_and(|at| RECLAIM_AFTER <= now.since(at)));
-    claim.runs.retain(|key| tables_runs.contains_key(*key));
-    let runs = claim.runs.clone();
-    if !step.gang || !is_due || runs.is_empty() {
+    let instance = candidate.instance;
+    let Some(claim) = tables.claims.get_mut(&instance) else { return false };
+    claim.runs.retain(|key| tables.runs.contains_key(*key));
+    let usable_since =
+        tables.reservations.get(&instance).and_then(|reservation| reservation.usable_since);
+    let is_long_ago = |at: Option<Millis>| at.is_some_and(|at| RECLAIM_AFTER <= now.since(at));
+    if !step.gang
+        || claim.runs.is_empty()
+        || !(is_long_ago(claim.since) || is_long_ago(usable_since))
+    {
         return false;
     }
-    let tasks: BTreeSet<_> =
-        runs.iter().filter_map(|key| tables.runs.get(*key)).map(|run| run.task).collect();
+    let tasks: BTreeSet<Task> =
+        claim.runs.iter().filter_map(|key| tables.runs.get(*key)).map(|run| run.task).collect();
     let price = |step: &Step, run: &Run| {
         tasks.contains(&run.task).then(|| preempt::lost_work(step, run, now))
     };
     let pool = assign::pool(tables, now, availability, candidate, step);
     let pool = speed::targets(tables, now, candidate, step, &pool);
     let (groups, _) = place::full_speed_groups(tables, &pool, step);
-    let instance = candidate.instance;
     let Some(plan) = preempt::cheapest(tables, availability, instance, step.tasks, &groups, price)
     else {
         return false;
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -476,7 +476,8 @@
     /// Whether nothing else may use what is reserved: runs are being stopped for the step, or it is
     /// guaranteed and may stop runs at any time.
     pub is_firm: bool,
-    /// Since when what is reserved can be used; `None` while runs are in the way.
+    /// Since when what is reserved could be used, but for runs that were placed on it; `None` while other
+    /// runs are in the way.
     pub usable_since: Option<Millis>,
 }
 
--- a/lib/tests/batch_backfill.rs
+++ b/lib/tests/batch_backfill.rs
@@ -104,3 +104,18 @@
         assert_eq!(sim.state(long), Some(State::Queued), "{policy:?}");
     }
 }
+
+#[test]
+fn overrun() {
+    // A job that takes far longer than estimated on what is reserved keeps the gang waiting for a while only.
+    let mut sim = Simulation::new(5);
+    sim.submit("plain", "praha", vec![step(9, 8, 12_000)], 12_000);
+    sim.run_for(1000);
+    let wide = sim.submit("plain", "brno", vec![gang(12, 10_000)], 10_000);
+    sim.run_for(RESERVED_MS);
+    let short = sim.submit_lasting("plain", "praha", vec![gang(6, 2000)], 2000, 200_000);
+    sim.run_for(BOUND_MS);
+    assert!(sim.all_started(short).is_some());
+    sim.run_for(30_000);
+    assert!(sim.all_started(wide).is_some());
+}
