--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -95,9 +95,10 @@
             let passed = backfill::passable(tables, now, &forecasts, candidate, &step, false);
             if !passed.is_empty() {
                 let remaining = still_waiting(tables, candidate);
-                let more = over(tables, &mut availability, &passed, |tables, availability| {
-                    place(tables, now, availability, &remaining, &step, events)
-                });
+                let more =
+                    while_released(tables, &mut availability, &passed, |tables, availability| {
+                        place(tables, now, availability, &remaining, &step, events)
+                    });
                 if more != Placed::None {
                     backfill::note_passed(tables, now, candidate.instance, &passed, false);
                     events.push(Event::Backfilled(candidate.instance, passed.len()));
@@ -109,7 +110,7 @@
             tables.held_back.remove(&candidate.instance);
         } else if overdue::is_due(tables, now, &mut busy, candidate, &step) {
             let passed = backfill::passable(tables, now, &forecasts, candidate, &step, true);
-            placed = over(tables, &mut availability, &passed, |tables, availability| {
+            placed = while_released(tables, &mut availability, &passed, |tables, availability| {
                 overdue::place(tables, now, availability, candidate, &step, events)
             });
             if placed != Placed::None {
@@ -165,7 +166,7 @@
 }
 
 /// Calls a function while what is reserved for other steps is available.
-fn over(
+fn while_released(
     tables: &mut Tables,
     availability: &mut Availability,
     passed: &[StepInstance],
--- a/lib/tests/batch_backfill.rs
+++ b/lib/tests/batch_backfill.rs
@@ -3,10 +3,11 @@
 mod batch_sim;
 
 use batch_sim::Simulation;
+use batch_sim::gang;
+use batch_sim::policies;
 use batch_sim::step;
 use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::State;
-use lavendergauge_lib::batch::job::Step;
 use lavendergauge_lib::batch::policy::Policy;
 
 /// Time within which a job has to have something running where there is room, in milliseconds.
@@ -16,22 +17,6 @@
 /// Run time of the jobs that are in the way, in milliseconds.
 const LONG_MS: u64 = 600_000;
 
-fn gang(tasks: u32, estimate_ms: u64) -> Step {
-    Step { gang: true, ..step(tasks, 8, estimate_ms) }
-}
-
-/// The optional decisions that change what is reserved: none, and all of them.
-fn policies() -> [Policy; 2] {
-    let all = Policy {
-        worker_speed: true,
-        worker_trust: true,
-        shortage: true,
-        account_shares: true,
-        ..Policy::default()
-    };
-    [Policy::default(), all]
-}
-
 /// Returns 15 workers, of which `used` run for ten minutes, and the gang of twelve that waits for them
 /// and has reserved the others.
 fn blocked_gang(policy: Policy, used: u32) -> (Simulation, Id) {
--- a/lib/tests/batch_overdue.rs
+++ b/lib/tests/batch_overdue.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use batch_sim::Simulation;
+use batch_sim::gang;
+use batch_sim::policies;
 use batch_sim::step;
 use lavendergauge_lib::batch::job::Step;
 use lavendergauge_lib::batch::policy::Policy;
@@ -17,22 +19,6 @@
 /// Run time of the jobs that are in the way, in milliseconds.
 const LONG_MS: u64 = 600_000;
 
-fn gang(tasks: u32, estimate_ms: u64) -> Step {
-    Step { gang: true, ..step(tasks, 8, estimate_ms) }
-}
-
-/// The optional decisions that choose workers: none, and all of them.
-fn policies() -> [Policy; 2] {
-    let all = Policy {
-        worker_speed: true,
-        worker_trust: true,
-        shortage: true,
-        account_shares: true,
-        ..Policy::default()
-    };
-    [Policy::default(), all]
-}
-
 /// Returns five racks of three workers, with a long run on one worker of each.
 fn one_busy_each(policy: Policy) -> Simulation {
     let mut sim = Simulation::new(5);
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -32,6 +32,7 @@
 use lavendergauge_lib::batch::order::Answer;
 use lavendergauge_lib::batch::order::Order;
 use lavendergauge_lib::batch::order::Verb;
+use lavendergauge_lib::batch::policy::Policy;
 use lavendergauge_lib::batch::progress::Progress;
 use lavendergauge_lib::batch::records;
 use lavendergauge_lib::batch::report::Announcement;
@@ -203,6 +204,23 @@
     Step { tasks, accelerators, processors: 1000, memory_mb: 1024, estimate_ms, ..Step::default() }
 }
 
+/// Returns a gang of `tasks` members, each of which fills a worker.
+pub fn gang(tasks: u32, estimate_ms: u64) -> Step {
+    Step { gang: true, ..step(tasks, 8, estimate_ms) }
+}
+
+/// Returns the optional decisions about placement: none, and all of them.
+pub fn policies() -> [Policy; 2] {
+    let all = Policy {
+        worker_speed: true,
+        worker_trust: true,
+        shortage: true,
+        account_shares: true,
+        ..Policy::default()
+    };
+    [Policy::default(), all]
+}
+
 impl Simulation {
     /// Creates `racks` racks of three workers with eight accelerators each.
     pub fn new(racks: usize) -> Simulation {
--- a/lib/tests/batch_stall.rs
+++ b/lib/tests/batch_stall.rs
@@ -3,18 +3,14 @@
 mod batch_sim;
 
 use batch_sim::Simulation;
+use batch_sim::policies;
 use batch_sim::step;
 use lavendergauge_lib::batch::job::State;
 use lavendergauge_lib::batch::job::Step;
-use lavendergauge_lib::batch::policy::Policy;
 
 /// Run time of a task whose progress is listed in whole percentage points that take 12 s each.
 const LONG_MS: u64 = 1_200_000;
 
-fn policies() -> [Policy; 2] {
-    [Policy::default(), Policy { worker_trust: true, worker_speed: true, ..Policy::default() }]
-}
-
 #[test]
 fn no_estimate() {
     // A long task without an estimate, or with one that is far too short, was stopped for lack of progress
