leader: an entry does not end the lease of one that has just taken over

An entry that found leadership free, and read the chain's key after another one had taken over, revoked that one's lease: one more change of the leader.

Cause: since an acquisition first ends the lease that the chain's key names. Between the list that shows no leader and that read, another entry may have written both keys.

Change: the leader's key is read again after the chain's. If it is absent then, the chain's lease is that of a term that is over.

--- a/daemon/src/batch/leader.rs
+++ b/daemon/src/batch/leader.rs
@@ -164,7 +164,7 @@
                 time::sleep(succession::delay(&own, &entry.roster.peers(&entry))).await;
             }
             // Another writer may have removed the key, which leaves the lease of its leader valid.
-            None if !end_earlier_leases(&entry).await => time::sleep(PAUSE).await,
+            None if !end_earlier_leases(&entry).await => {}
             None => match acquire(&entry).await {
                 Ok(Some(term)) => {
                     let fence = term.fence;
@@ -189,26 +189,50 @@
 }
 
 /// Ends the leases of the leader that was known last and of the newest one, which this entry may never
-/// have known; returns whether they have ended.
+/// have known; returns whether they have ended and leadership is still free. Pauses after a failure.
 ///
 /// A leader that can still renew its lease would grant beside its successor.
 async fn end_earlier_leases(entry: &Entry) -> bool {
     let known = entry.leader.borrow().as_ref().map(|leader| leader.lease);
-    let newest = match entry.store.read(keys::CHAIN, DEADLINE).await {
-        Ok(item) => item.and_then(|item| chain::lease_of(&item.value)),
+    let newest = match newest_vacant_lease(&entry.store).await {
+        Ok(Vacancy::Taken) => return false,
+        Ok(Vacancy::After(lease)) => lease,
         Err(error) => {
             log::warn!("event=chain-unknown cause={}", Value(&error.to_string()));
+            time::sleep(PAUSE).await;
             return false;
         }
     };
     for lease in known.into_iter().chain(newest.filter(|lease| known != Some(*lease))) {
         if !end_lease(&entry.store, lease, DEADLINE).await {
+            time::sleep(PAUSE).await;
             return false;
         }
     }
     true
 }
 
+/// Whether leadership is free.
+enum Vacancy {
+    /// It is not: there is a leader's key.
+    Taken,
+    /// It is, after the term with this lease; `None` if the chain's key names none.
+    After(Option<u64>),
+}
+
+/// Reads the lease of the newest term, if that term is over.
+///
+/// An acquisition writes the leader's and the chain's key together. The chain's is read first: a leader's
+/// key that is absent afterwards is absent after the term that the chain names, and the lease is not that
+/// of an entry that has taken over meanwhile.
+async fn newest_vacant_lease(store: &Store) -> Result<Vacancy, Error> {
+    let chain = store.read(keys::CHAIN, DEADLINE).await?;
+    if store.read(keys::LEADER, DEADLINE).await?.is_some() {
+        return Ok(Vacancy::Taken);
+    }
+    Ok(Vacancy::After(chain.and_then(|item| chain::lease_of(&item.value))))
+}
+
 /// Revokes a leader's lease; returns whether it has ended.
 pub async fn end_lease(store: &Store, lease: u64, deadline: Duration) -> bool {
     match store.revoke(lease, deadline).await {
