tick: a job that used up its attempts explains no crashes

A job that failed by its attempts, and on whose workers a crash had been counted, was logged as given up for crashes, and the crash was taken back from the others on that worker, among them the task that may have caused it.

Change: a failure counts as a crash's cause only if the task is at fault by its crashes.

Evidence: failed_beside failed before and passes, as do the other tests of batch_crash, batch_overdue, batch_backfill and batch_runs.

--- a/lib/src/batch/tick.rs
+++ b/lib/src/batch/tick.rs
@@ -169,8 +169,11 @@
     if let Some(outcome) = outcome {
         job.outcome = Some(outcome);
         job.ended_ms = wall_ms;
-        let crashes = failed.and_then(|task| Some((task, tables.task_state(task)?.crashes)));
-        let given_up = crashes.filter(|(_, crashes)| !crashes.is_none());
+        let given_up = failed.and_then(|task| {
+            let (task_state, step) = (tables.task_state(task)?, tables.step(task.instance)?);
+            // A task that has used up its attempts may have seen crashes of other causes.
+            strike::is_at_fault(task_state, step).then_some((task, task_state.crashes))
+        });
         if let Some((task, crashes)) = given_up {
             events.push(Event::GivenUp(task, crashes));
             strike::explain(tables, id);
--- a/lib/tests/batch_crash.rs
+++ b/lib/tests/batch_crash.rs
@@ -196,6 +196,30 @@
     assert_eq!(crashes.count, 0, "{crashes:?}");
 }
 
+#[test]
+fn failed_beside() {
+    // A job that failed for reasons of its own was taken for the cause of crashes under it and others.
+    let mut sim = Simulation::new(1);
+    let busy = Step { max_per_worker: 1, ..step(2, 8, 200_000) };
+    sim.submit("plain", "praha", vec![busy], 200_000);
+    sim.run_for(100);
+    let sound = sim.submit("plain", "praha", vec![step(1, 4, 120_000)], 120_000);
+    let failing = sim.submit("plain", "brno", vec![step(1, 4, 120_000)], 120_000);
+    sim.run_for(2000);
+    let node = &sim.starts.iter().find(|start| start.1 == task(sound, 0)).expect("a start").3;
+    let index = sim.workers.iter().position(|worker| worker.node == *node).expect("its worker");
+    sim.crash(index);
+    sim.run_for(DOWN_MS + 200);
+    let crashes = |sim: &Simulation, id| sim.tables.task_state(task(id, 0)).unwrap().crashes.count;
+    assert_eq!((crashes(&sim, sound), crashes(&sim, failing)), (1, 1));
+    let failures = sim.tables.task_state_mut(task(failing, 0)).expect("a task");
+    failures.failures = 3;
+    sim.tables.touch(failing);
+    sim.run_for(100);
+    assert_eq!(sim.state(failing), Some(State::Failed));
+    assert_eq!(crashes(&sim, sound), 1, "the crash is not explained");
+}
+
 #[test]
 fn sound_jobs() {
     // Workers that crash by turns take sound jobs down again and again.
