ends: an agent logs the ends that its worker dropped unread

A run whose end was dropped before it was read shows only as "not listed by its worker", like one that was lost.

Change: the agent follows the numbers of the ends that it reads, and logs and counts a gap (ends-missed, lavendergauge_worker_ends_missed_total) with the acknowledgement that it sent last.

--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -16,6 +16,7 @@
 use hyper::StatusCode;
 use lavendergauge_derive::token;
 use lavendergauge_lib::batch::crash::Ledger;
+use lavendergauge_lib::batch::ends;
 use lavendergauge_lib::batch::lease::Call;
 use lavendergauge_lib::batch::lease::Tracker;
 use lavendergauge_lib::batch::membership::Membership;
@@ -247,6 +248,7 @@
             leases: Tracker::new(clock::boot().0, role.lease_max.as_millis() as u64),
             leases_of: String::new(),
             list: None,
+            ends: ends::Reader::default(),
             is_list_partial: false,
             unreadable_items: 0,
             last_readable_end: None,
--- a/daemon/src/batch/agent_state.rs
+++ b/daemon/src/batch/agent_state.rs
@@ -4,6 +4,7 @@
 
 use lavendergauge_lib::batch::crash::Crash;
 use lavendergauge_lib::batch::crash::Ledger;
+use lavendergauge_lib::batch::ends;
 use lavendergauge_lib::batch::lease::Reading;
 use lavendergauge_lib::batch::lease::Tracker;
 use lavendergauge_lib::batch::membership::Claim;
@@ -36,6 +37,8 @@
     pub leases_of: String,
     /// The worker's last list of running and ended runs.
     pub list: Option<List>,
+    /// What was read of the worker's ends.
+    pub ends: ends::Reader,
     /// Whether that list may omit runs or ends.
     pub is_list_partial: bool,
     /// Number of items of that list that could not be decoded.
@@ -90,16 +93,24 @@
     pub fn admit(&mut self, claim: Claim, clock: Reading) {
         let (id, incarnation) = (claim.announcement.id.clone(), claim.announcement.incarnation);
         let is_leaving = self.membership.is_leaving(clock::boot().0);
+        let ended = self.membership.ended();
+        // This process, or the one before it, may have read ends of an incarnation that ran before.
+        let is_new = !ended.contains(&incarnation)
+            && self.ends.incarnation() != incarnation
+            && (!ended.is_empty() || self.membership.worker().is_some());
         let before = self.membership.admit(claim);
         log::info!(
             "event=worker-joined worker={id} incarnation={incarnation} known_worker={} before={}",
             before.as_ref().map_or("", |worker| &worker.id),
             before.as_ref().map_or(0, |worker| worker.incarnation)
         );
-        if let Some(before) = before {
-            self.record_end(&before, is_leaving);
+        if let Some(before) = &before {
+            self.record_end(before, is_leaving);
         }
         self.note_restart(&id);
+        if is_new {
+            self.ends = ends::Reader::new(incarnation);
+        }
         self.worker_clock = Some(clock);
         self.is_worker_responsive = true;
     }
--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -202,6 +202,18 @@
     }
     state.worker_clock = Some(Reading { clock_ms: snapshot.clock_ms, read_at: clock::now().0 });
     state.ledger.apply_list(&snapshot.running, sent_at);
+    let is_complete = snapshot.unreadable == 0;
+    if let Some(gap) = state.ends.read(poll.incarnation, &snapshot.ends, is_complete) {
+        counter!("lavendergauge_worker_ends_missed_total").increment(gap.missed());
+        log::warn!(
+            "event=ends-missed worker={} incarnation={} after={} before={} acknowledged={}",
+            poll.id,
+            poll.incarnation,
+            gap.after,
+            gap.before,
+            poll.forget
+        );
+    }
     let list = List {
         incarnation: poll.incarnation,
         fence: poll.fence,
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -15,6 +15,7 @@
 pub mod config;
 pub mod crash;
 pub mod dispatch;
+pub mod ends;
 pub mod event;
 pub mod explain;
 pub mod gate;
