agents: a worker refuses calls that were meant for its earlier incarnation

Cause: a worker that restarts under its identifier numbers ends, measures time and remembers tokens anew, and no call names the incarnation that it is meant for. Each poll repeated the newest acknowledgement, so the first poll after a crash, or one carried out late, told the next incarnation to drop its own ends up to that number. Their runs vanished from its list and were started again. In the same way a late poll or start extended the lease by the clock of the earlier incarnation, for longer than the planner's bound, which counted from the end of the call.

Change: the fencing token is the one number that a worker compares, and a new incarnation has seen none. An agent now divides a planner's term into epochs, the low 20 bits of the token: it begins one after a call without an answer, before it examines a claim, and when it learns of a restart. Once the next incarnation has carried out one call, whatever was sent before is refused, however late. An acknowledgement is sent until it is confirmed, in a call that returns at once, and not after a call without an answer. The agent reports a lease's bound from the first call of the new epoch that was answered, instead of tracking each call. A planner tells the agent's next process the epoch of the one before; if it cannot, a refused token is doubled in its low bits, so that 20 calls suffice.

Not prevented: a late call that is carried out before the agent's first call to the new incarnation. It finds no ends to drop; what it starts is in the next list; its lease is within the bound.

--- a/daemon/src/batch/agent.rs
+++ b/daemon/src/batch/agent.rs
@@ -14,10 +14,9 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use lavendergauge_derive::token;
 use lavendergauge_lib::batch::crash::Ledger;
 use lavendergauge_lib::batch::ends;
-use lavendergauge_lib::batch::lease::Call;
+use lavendergauge_lib::batch::epoch::Epoch;
 use lavendergauge_lib::batch::lease::Tracker;
 use lavendergauge_lib::batch::membership::Membership;
 use lavendergauge_lib::batch::order::Answer;
@@ -66,15 +65,6 @@
 /// Longest wait for calls in progress at a stop; tasks keep running under their lease.
 const STOP_WAIT: Duration = Duration::from_millis(500);
 
-/// The lease that a call to the worker carries.
-#[token]
-pub struct Lease {
-    /// Time of the worker's clock until which its tasks may run, in milliseconds.
-    pub until_ms: u64,
-    /// The call.
-    pub call: Call,
-}
-
 /// An agent, shared by its listeners and loops.
 pub struct Agent {
     /// Name of the agent.
@@ -113,11 +103,11 @@
         self.version.send_modify(|version| *version += 1);
     }
 
-    /// Returns the lease that a call to the worker may carry, which ends within `limit`.
+    /// Returns the lease that a call to the worker may carry: the time of the worker's clock until
+    /// which its tasks may run, in milliseconds.
     ///
-    /// `None` while the worker's clock is not known or the grant has expired. The caller has to
-    /// record the end of the call in [`State::leases`].
-    pub fn begin_lease(&self, limit: Duration) -> Option<Lease> {
+    /// `None` while the worker's clock is not known or the grant has expired.
+    pub fn next_lease(&self) -> Option<u64> {
         let mut state = self.state();
         let reading = state.worker_clock?;
         let id = state.worker()?.id.clone();
@@ -126,10 +116,8 @@
         let longest = self.settings.lease_max.as_millis() as u64;
         let worker_clock = reading.least_clock_ms(clock::now().0);
         state.leases_of = id;
-        Some(Lease {
-            until_ms: worker_clock.saturating_add(remaining.min(longest)),
-            call: state.leases.begin(now, limit.as_millis() as u64),
-        })
+        state.epoch.mark_used();
+        Some(worker_clock.saturating_add(remaining.min(longest)))
     }
 
     /// Checks a caller's fencing token and applies its token and grant.
@@ -154,6 +142,7 @@
                 state.fence
             );
             state.fence = authority.fence;
+            state.epoch.begin_term(authority.fence);
             state.planner = authority.planner.clone();
             self.wake.notify_one();
             self.claimed.notify_one();
@@ -184,7 +173,8 @@
             worker: state.worker().cloned(),
             list,
             partial_list,
-            stale_lease_until: state.leases.stale_until(),
+            stale_lease_until: state.leases.stale_until(clock),
+            epoch: state.epoch.number(),
             crashes: state.crashes.iter().cloned().collect(),
         }
     }
@@ -245,6 +235,7 @@
             grant_until: 0,
             membership: Membership::default(),
             worker_clock: None,
+            epoch: Epoch::default(),
             leases: Tracker::new(clock::boot().0, role.lease_max.as_millis() as u64),
             leases_of: String::new(),
             list: None,
@@ -324,6 +315,10 @@
     }
     let has_newer_acknowledgement = {
         let mut state = agent.state();
+        let session = poll.authority.session;
+        if session != 0 && session != agent.session && poll.authority.fence == state.fence {
+            state.epoch.succeed(poll.epoch);
+        }
         let (incarnation, number) = state.forgettable_ends;
         // The number of a later incarnation may be lower.
         let is_newer = incarnation != poll.incarnation || number < poll.forget;
--- a/daemon/src/batch/agent_claim.rs
+++ b/daemon/src/batch/agent_claim.rs
@@ -37,11 +37,17 @@
 /// The call extends no lease and acknowledges no end.
 async fn examine(agent: &Agent, claim: Claim, fence: u64) {
     let (id, incarnation) = (claim.announcement.id.clone(), claim.announcement.incarnation);
-    let answer = agent.client.poll(&id, fence, 0, None, Duration::ZERO).await;
+    let token = {
+        let mut state = agent.state();
+        // No call that was meant for another incarnation may follow this one.
+        state.raise_epoch(&id, "claim examined");
+        state.epoch.token(fence)
+    };
+    let answer = agent.client.poll(&id, token, 0, None, Duration::ZERO).await;
     let outcome = match answer {
         Ok(Poll::Lists(snapshot)) if snapshot.incarnation == incarnation => {
             let clock = Reading { clock_ms: snapshot.clock_ms, read_at: clock::now().0 };
-            agent.state().admit(claim, clock);
+            agent.state().admit(claim, clock, token);
             agent.wake.notify_one();
             agent.notify_planner();
             "proved"
@@ -61,7 +67,12 @@
             "refuted"
         }
         Ok(Poll::Fenced) => {
-            agent.state().membership.keep_until_fence(claim, fence);
+            let mut state = agent.state();
+            if state.epoch.overtake(token) {
+                state.membership.keep(claim);
+            } else {
+                state.membership.keep_until_fence(claim, fence);
+            }
             "fenced"
         }
         Err(error) => {
--- a/daemon/src/batch/agent_order.rs
+++ b/daemon/src/batch/agent_order.rs
@@ -1,6 +1,5 @@
 //! Executes the planner's orders at the worker.
 
-use lavendergauge_lib::batch::lease::Call;
 use lavendergauge_lib::batch::order::Answer;
 use lavendergauge_lib::batch::order::Order;
 use lavendergauge_lib::batch::order::Verb;
@@ -106,20 +105,22 @@
     if expires < clock::boot().0 {
         return Answer::Refused("order-expired".to_owned());
     }
-    let Some(lease) = agent.begin_lease(worker::DEADLINE) else {
+    let Some(lease_until_ms) = agent.next_lease() else {
         return Answer::Refused("no-grant".to_owned());
     };
-    let start = Start { lease_until_ms: lease.until_ms, ..start };
+    let start = Start { lease_until_ms, ..start };
     agent.state().ledger.begin_start(order.task, order.run, clock::boot().0);
-    let answer = agent.client.start(&id, fence, &start).await;
-    record_lease(agent, &id, order.incarnation, lease.call, &answer);
+    let answer = agent.client.start(&id, call_token(agent, fence), &start).await;
+    if let Ok(answer) = &answer {
+        check_incarnation(agent, &id, order.incarnation, answer);
+    }
     let answer = match answer.map(|answer| answer.reply) {
         Ok(Reply::Done) => Answer::Done(clock::boot().0),
         Ok(Reply::Refused(reason)) => Answer::Refused(reason),
         Ok(Reply::Gone) => Answer::Gone,
         Err(error) if error.has_no_effect() => Answer::Refused(error.to_string()),
         Err(error) => {
-            log::warn!("event=worker-silent worker={id} cause={}", Value(&error.to_string()));
+            note_silence(agent, &id, &error);
             Answer::Unknown
         }
     };
@@ -132,30 +133,22 @@
     answer
 }
 
-/// Records the end of a start call, which extends the worker's lease even when the run is refused.
-///
-/// An answer of another incarnation than the order is meant for shows that the worker has restarted.
-fn record_lease(
-    agent: &Agent,
-    id: &str,
-    incarnation: u64,
-    call: Call,
-    answer: &Result<worker::Answer, Error>,
-) {
+/// Returns the fencing token of a call that has an effect on the worker.
+fn call_token(agent: &Agent, fence: u64) -> u64 {
     let mut state = agent.state();
-    match answer {
-        Ok(answer) if answer.reply == Reply::Gone => state.leases.cancel(call),
-        Ok(answer) if answer.incarnation == incarnation => state.leases.confirm(call),
-        Ok(answer) => {
-            state.leases.end_unanswered(call, clock::boot().0);
-            let is_other = answer.incarnation != 0;
-            if is_other && state.end_worker(id, incarnation, "another incarnation answers") {
-                drop(state);
-                agent.notify_planner();
-            }
-        }
-        Err(error) if error.has_no_effect() => state.leases.cancel(call),
-        Err(_) => state.leases.end_unanswered(call, clock::boot().0),
+    state.epoch.mark_used();
+    state.epoch.token(fence)
+}
+
+/// Notes that the worker has restarted if another incarnation has answered than the order is meant for.
+fn check_incarnation(agent: &Agent, id: &str, incarnation: u64, answer: &worker::Answer) {
+    let is_known = answer.incarnation != 0 && answer.reply != Reply::Gone;
+    if !is_known || answer.incarnation == incarnation {
+        return;
+    }
+    let has_ended = agent.state().end_worker(id, incarnation, "another incarnation answers");
+    if has_ended {
+        agent.notify_planner();
     }
 }
 
@@ -164,7 +157,11 @@
         Ok(found) => found,
         Err(answer) => return answer,
     };
-    answer_from_reply(&id, agent.client.stop(&id, fence, order.task, order.run).await)
+    answer_from_reply(
+        agent,
+        &id,
+        agent.client.stop(&id, call_token(agent, fence), order.task, order.run).await,
+    )
 }
 
 async fn pace_run(agent: &Agent, fence: u64, order: &Order, percent: u32) -> Answer {
@@ -172,17 +169,27 @@
         Ok(found) => found,
         Err(answer) => return answer,
     };
-    answer_from_reply(&id, agent.client.pace(&id, fence, order.task, order.run, percent).await)
+    answer_from_reply(
+        agent,
+        &id,
+        agent.client.pace(&id, call_token(agent, fence), order.task, order.run, percent).await,
+    )
+}
+
+/// Notes an order that got no answer.
+fn note_silence(agent: &Agent, id: &str, error: &Error) {
+    log::warn!("event=worker-silent worker={id} cause={}", Value(&error.to_string()));
+    agent.state().note_unanswered(id);
 }
 
 /// Converts a worker's reply to an idempotent order into an answer.
-fn answer_from_reply(id: &str, reply: Result<worker::Answer, Error>) -> Answer {
+fn answer_from_reply(agent: &Agent, id: &str, reply: Result<worker::Answer, Error>) -> Answer {
     match reply.map(|answer| answer.reply) {
         Ok(Reply::Done) => Answer::Done(clock::boot().0),
         Ok(Reply::Refused(reason)) => Answer::Refused(reason),
         Ok(Reply::Gone) => Answer::Gone,
         Err(error) => {
-            log::warn!("event=worker-silent worker={id} cause={}", Value(&error.to_string()));
+            note_silence(agent, id, &error);
             Answer::Unknown
         }
     }
--- a/daemon/src/batch/agent_state.rs
+++ b/daemon/src/batch/agent_state.rs
@@ -5,6 +5,7 @@
 use lavendergauge_lib::batch::crash::Crash;
 use lavendergauge_lib::batch::crash::Ledger;
 use lavendergauge_lib::batch::ends;
+use lavendergauge_lib::batch::epoch::Epoch;
 use lavendergauge_lib::batch::lease::Reading;
 use lavendergauge_lib::batch::lease::Tracker;
 use lavendergauge_lib::batch::membership::Claim;
@@ -31,9 +32,11 @@
     pub membership: Membership,
     /// The newest reading of the worker's clock; `None` when another incarnation may run by now.
     pub worker_clock: Option<Reading>,
-    /// The calls that extend the worker's lease.
+    /// The epoch of the calls to the worker.
+    pub epoch: Epoch,
+    /// Until when the worker may hold a lease by the clock of an earlier incarnation.
     pub leases: Tracker,
-    /// Identifier of the worker that they were sent to.
+    /// Identifier of the worker that received the newest lease; empty for none.
     pub leases_of: String,
     /// The worker's last list of running and ended runs.
     pub list: Option<List>,
@@ -70,16 +73,33 @@
         self.membership.worker()
     }
 
-    /// Notes that the worker has restarted: its next incarnation may hold a lease by the clock of
-    /// the present one.
+    /// Notes that the worker has restarted: its next incarnation may receive calls that were meant
+    /// for the present one.
     fn note_restart(&mut self, id: &str) {
-        if self.leases_of == id {
-            self.leases.restart();
+        self.raise_epoch(id, "worker restarted");
+        // An earlier process of the agent may have sent calls to this identifier.
+        if self.leases_of.is_empty() || self.leases_of == id {
+            self.leases.restart(clock::boot().0, self.epoch.token(self.fence));
         }
         self.worker_clock = None;
         self.forget_list();
     }
 
+    /// Begins an epoch, in which the worker refuses the calls that were sent before.
+    pub fn raise_epoch(&mut self, id: &str, cause: &str) {
+        if self.epoch.raise() {
+            let number = self.epoch.number();
+            log::info!("event=worker-epoch worker={id} epoch={number} cause=\"{cause}\"");
+        }
+    }
+
+    /// Notes that a call to the worker got no answer: another incarnation may receive the next one,
+    /// and the clock has to be read first.
+    pub fn note_unanswered(&mut self, id: &str) {
+        self.worker_clock = None;
+        self.raise_epoch(id, "no answer");
+    }
+
     /// Forgets the worker's list.
     pub fn forget_list(&mut self) {
         self.list = None;
@@ -89,8 +109,8 @@
     }
 
     /// Applies the proof that a claimed incarnation runs, which was read from the answer at its
-    /// address: the one before has ended.
-    pub fn admit(&mut self, claim: Claim, clock: Reading) {
+    /// address to a call with the fencing token `token`: the one before has ended.
+    pub fn admit(&mut self, claim: Claim, clock: Reading, token: u64) {
         let (id, incarnation) = (claim.announcement.id.clone(), claim.announcement.incarnation);
         let is_leaving = self.membership.is_leaving(clock::boot().0);
         let ended = self.membership.ended();
@@ -107,7 +127,11 @@
         if let Some(before) = &before {
             self.record_end(before, is_leaving);
         }
+        let is_fenced = self.epoch.is_unused(token);
         self.note_restart(&id);
+        if is_fenced {
+            self.leases.answer(clock::boot().0, token);
+        }
         if is_new {
             self.ends = ends::Reader::new(incarnation);
         }
--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -3,11 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lavendergauge_lib::batch::lease::Call;
 use lavendergauge_lib::batch::lease::Reading;
 use lavendergauge_lib::batch::report::List;
 use lavendergauge_platform::Error;
-use lavendergauge_platform::worker;
 use lavendergauge_platform::worker::Poll;
 use lavendergauge_platform::worker::Snapshot;
 use metrics::counter;
@@ -34,7 +32,11 @@
 struct WorkerPoll {
     id: String,
     incarnation: u64,
+    /// Fencing token of the planner.
     fence: u64,
+    /// Fencing token of the call.
+    token: u64,
+    /// Number up to which the worker may drop its ends; 0 for none.
     forget: u64,
     wait: Duration,
     has_unrecorded_ends: bool,
@@ -48,6 +50,9 @@
     let worker = state.worker().filter(|_| state.fence != 0)?;
     let (incarnation, number) = state.forgettable_ends;
     let number = number.min(state.last_readable_end.unwrap_or(u64::MAX));
+    // After a call without an answer, another incarnation may receive the next one.
+    let may_acknowledge = state.worker_clock.is_some() && incarnation == worker.incarnation;
+    let forget = if may_acknowledge { state.ends.due(incarnation, number) } else { 0 };
     let list = state.list.as_ref();
     let is_leaving = state.membership.is_leaving(clock::boot().0);
     let wait = match list {
@@ -57,21 +62,28 @@
         None => Duration::ZERO,
         Some(_) if state.worker_clock.is_none() => Duration::ZERO,
         Some(list) if list.fence != state.fence => Duration::ZERO,
+        // A call in progress may reach the next incarnation.
+        Some(_) if forget != 0 => Duration::ZERO,
         // The planner waits for the result of its orders.
         Some(_) if has_new_orders => Duration::ZERO,
         Some(list) if list.running.is_empty() => WAIT_IDLE,
         Some(_) => WAIT_BUSY,
     };
-    Some(WorkerPoll {
+    let poll = WorkerPoll {
         id: worker.id.clone(),
         incarnation: worker.incarnation,
         fence: state.fence,
-        forget: if incarnation == worker.incarnation { number } else { 0 },
+        token: state.epoch.token(state.fence),
+        forget,
         wait,
         has_unrecorded_ends: list.is_some_and(|list| !list.ends.is_empty()),
         has_new_orders,
         is_leaving,
-    })
+    };
+    if forget != 0 {
+        state.epoch.mark_used();
+    }
+    Some(poll)
 }
 
 /// Polls the worker for its runs for as long as the process runs.
@@ -83,17 +95,13 @@
             continue;
         };
         let sent_at = clock::boot().0;
-        let lease = agent.begin_lease(poll.wait + worker::DEADLINE);
-        let lease_until = lease.map(|lease| lease.until_ms);
-        let call = agent.client.poll(&poll.id, poll.fence, poll.forget, lease_until, poll.wait);
+        let lease_until = agent.next_lease();
+        let call = agent.client.poll(&poll.id, poll.token, poll.forget, lease_until, poll.wait);
         // A new planner or acknowledgement interrupts the long poll, which is then repeated.
         let answer = tokio::select! {
             answer = call => Some(answer),
             () = agent.wake.notified(), if !poll.wait.is_zero() => None,
         };
-        if let Some(lease) = lease {
-            record_lease(&agent, &poll, lease.call, answer.as_ref());
-        }
         let Some(answer) = answer else { continue };
         match answer {
             Ok(Poll::Lists(snapshot)) => {
@@ -109,6 +117,8 @@
                     let _ = time::timeout(PAUSE_ENDS, agent.wake.notified()).await;
                 }
             }
+            // An earlier process of the agent was in a later epoch.
+            Ok(Poll::Fenced) if overtake(&agent, &poll) => {}
             Ok(refusal) => {
                 let cause = match refusal {
                     Poll::Fenced => "fence",
@@ -131,8 +141,7 @@
                     let mut state = agent.state();
                     state.has_new_orders |= poll.has_new_orders;
                     if !matches!(error, Error::NotDone(_)) {
-                        // Another incarnation may answer next: its clock has to be read first.
-                        state.worker_clock = None;
+                        state.note_unanswered(&poll.id);
                     }
                 }
                 if !is_lost {
@@ -154,23 +163,10 @@
     }
 }
 
-/// Records the end of a poll that extended the worker's lease; without an answer when it was
-/// interrupted.
-fn record_lease(
-    agent: &Agent,
-    poll: &WorkerPoll,
-    call: Call,
-    answer: Option<&Result<Poll, Error>>,
-) {
-    let leases = &mut agent.state().leases;
-    match answer {
-        Some(Ok(Poll::Lists(snapshot))) if snapshot.incarnation == poll.incarnation => {
-            leases.confirm(call);
-        }
-        Some(Ok(Poll::Fenced | Poll::Gone)) => leases.cancel(call),
-        Some(Err(error)) if error.has_no_effect() => leases.cancel(call),
-        _ => leases.end_unanswered(call, clock::boot().0),
-    }
+/// Tells whether a refused poll may be repeated with a higher fencing token.
+fn overtake(agent: &Agent, poll: &WorkerPoll) -> bool {
+    let mut state = agent.state();
+    state.fence == poll.fence && state.epoch.overtake(poll.token)
 }
 
 /// Applies a proof that the polled incarnation does not run.
@@ -201,6 +197,8 @@
         return;
     }
     state.worker_clock = Some(Reading { clock_ms: snapshot.clock_ms, read_at: clock::now().0 });
+    state.leases.answer(clock::boot().0, poll.token);
+    state.ends.confirm(poll.incarnation, poll.forget);
     state.ledger.apply_list(&snapshot.running, sent_at);
     let is_complete = snapshot.unreadable == 0;
     if let Some(gap) = state.ends.read(poll.incarnation, &snapshot.ends, is_complete) {
--- a/daemon/src/batch/follow.rs
+++ b/daemon/src/batch/follow.rs
@@ -275,6 +275,7 @@
         wait_ms: POLL_WAIT.as_millis() as u64,
         incarnation: worker.map_or(0, |worker| worker.incarnation),
         forget: worker.map_or(0, |worker| worker.acknowledged),
+        epoch: worker.map_or(0, |worker| worker.epoch),
     }
 }
 
--- a/daemon/src/batch/message.rs
+++ b/daemon/src/batch/message.rs
@@ -61,6 +61,10 @@
     pub incarnation: u64,
     /// Number of the newest ended run that the worker may forget.
     pub forget: u64,
+    /// Highest epoch of calls to the worker that the agent's process with the session in `authority`
+    /// has reported; 0 from a planner that does not tell.
+    #[serde(default)]
+    pub epoch: u64,
 }
 
 /// Orders for the worker on an agent's VM.
--- a/daemon/tests/slow_clients/batch_agent.rs
+++ b/daemon/tests/slow_clients/batch_agent.rs
@@ -87,7 +87,7 @@
 /// Returns a planner's poll that waits up to this number of milliseconds for another version.
 pub fn poll(seen: u64, wait_ms: u64) -> Call {
     let authority = Authority { planner: "entry-0".to_owned(), fence: 1, session: 0, grant: 0 };
-    let poll = Poll { authority, seen, wait_ms, incarnation: 0, forget: 0 };
+    let poll = Poll { authority, seen, wait_ms, incarnation: 0, forget: 0, epoch: 0 };
     Call::post(message::POLL, codec::pack(&poll).expect("a message"))
 }
 
--- a/lib/benches/batch_scale.rs
+++ b/lib/benches/batch_scale.rs
@@ -176,6 +176,7 @@
             is_worker_responsive: true,
             is_stopping: false,
             stale_lease_until: 0,
+            epoch: 0,
             partial_list: None,
             worker: Some(Announcement {
                 id: node,
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -16,6 +16,7 @@
 pub mod crash;
 pub mod dispatch;
 pub mod ends;
+pub mod epoch;
 pub mod event;
 pub mod explain;
 pub mod gate;
--- a/lib/src/batch/ends.rs
+++ b/lib/src/batch/ends.rs
@@ -35,6 +35,8 @@
     incarnation: u64,
     /// Number of the newest end that was read; `None` while an earlier process may have read some.
     newest: Option<u64>,
+    /// Number of the newest end that the worker is known to have dropped.
+    acknowledged: u64,
 }
 
 impl Reader {
@@ -45,7 +47,7 @@
     /// assert!(Reader::new(7).read(7, &[], true).is_none());
     /// ```
     pub fn new(incarnation: u64) -> Reader {
-        Reader { incarnation, newest: Some(0) }
+        Reader { incarnation, newest: Some(0), acknowledged: 0 }
     }
 
     /// Returns the incarnation.
@@ -79,7 +81,7 @@
     /// ```
     pub fn read(&mut self, incarnation: u64, ends: &[End], is_complete: bool) -> Option<Gap> {
         if self.incarnation != incarnation {
-            *self = Reader { incarnation, newest: None };
+            *self = Reader { incarnation, newest: None, acknowledged: 0 };
         }
         let first = ends.iter().map(|end| end.number).min();
         let last = ends.iter().map(|end| end.number).max();
@@ -88,4 +90,29 @@
         let gap = Gap { after: before?, before: first? };
         (is_complete && gap.missed() != 0).then_some(gap)
     }
+
+    /// Records that an incarnation has carried out the acknowledgement of its ends up to `number`.
+    pub fn confirm(&mut self, incarnation: u64, number: u64) {
+        if self.incarnation == incarnation {
+            self.acknowledged = self.acknowledged.max(number);
+        }
+    }
+
+    /// Returns the number up to which the ends of an incarnation still have to be acknowledged, of
+    /// those up to `number`; 0 for none.
+    ///
+    /// A call that repeats an acknowledgement can only do harm: the next incarnation may receive it.
+    ///
+    /// ```
+    /// use lavendergauge_lib::batch::ends::Reader;
+    /// let mut reader = Reader::new(7);
+    /// assert_eq!(reader.due(7, 4), 4);
+    /// reader.confirm(7, 4);
+    /// assert_eq!(reader.due(7, 4), 0);
+    /// assert_eq!(reader.due(8, 4), 0);
+    /// ```
+    pub fn due(&self, incarnation: u64, number: u64) -> u64 {
+        let is_due = self.incarnation == incarnation && self.acknowledged < number;
+        if is_due { number } else { 0 }
+    }
 }
--- a/lib/src/batch/lease.rs
+++ b/lib/src/batch/lease.rs
@@ -2,15 +2,15 @@
 //!
 //! An agent extends its worker's lease up to a time of the worker's clock, which starts anew with
 //! each incarnation. A call that reaches a later incarnation than the one whose clock was read names
-//! a time far ahead, so the worker holds a lease of its full length, which no call shortens. The
-//! agent cannot know which incarnation received a call that got no answer. It therefore tracks how
-//! long such a lease can last, and the planner waits that long before it replaces the worker's runs.
+//! a time far ahead, so the worker holds a lease of its full length, which no call shortens. Such a
+//! call may arrive until the incarnation has carried out one with a higher fencing token (see
+//! [`epoch`](crate::batch::epoch)). The agent reports how long a lease can last that was given
+//! before, and the planner waits that long before it replaces the worker's runs.
 //!
 //! Times are by the agent's clock, in milliseconds, unless stated otherwise.
 
 use lavendergauge_derive::row;
 use lavendergauge_derive::token;
-use smallvec::SmallVec;
 
 use crate::batch::table;
 
@@ -19,6 +19,9 @@
 /// Share by which a worker's clock may be slow, as a divisor.
 const SLOW_CLOCK_DIVISOR: u64 = 2 * CLOCK_SLACK_DIVISOR;
 
+/// Time within which a call that got no answer is carried out, if it is, in milliseconds.
+pub const LATE_CALL_MS: u64 = 15_000;
+
 /// A reading of a worker's clock.
 #[token]
 pub struct Reading {
@@ -44,30 +47,14 @@
     }
 }
 
-/// Identifies a call that extends the worker's lease.
-#[token]
-pub struct Call(u64);
-
-#[row]
-struct Pending {
-    call: Call,
-    begun_at: u64,
-    /// End of a lease that the call may give to another incarnation.
-    until: u64,
-}
-
-/// The calls of one agent that extend its worker's lease.
+/// Until when the worker may hold a lease by the clock of an earlier incarnation.
 #[row]
 pub struct Tracker {
     longest_ms: u64,
-    next: u64,
-    in_progress: SmallVec<[Pending; 4]>,
-    /// When the last call without an answer ended.
-    unanswered_at: u64,
-    /// End of a lease that one of the calls without an answer may give to another incarnation; 0
-    /// when there are none.
-    unanswered_until: u64,
     stale_until: u64,
+    /// Since when calls for an earlier incarnation may be carried out, and the lowest fencing token of
+    /// a call after which they are refused; `None` once one was answered.
+    awaited: Option<(u64, u64)>,
 }
 
 impl Tracker {
@@ -78,17 +65,10 @@
     ///
     /// ```
     /// use lavendergauge_lib::batch::lease::Tracker;
-    /// assert_eq!(Tracker::new(500, 10_000).stale_until(), 10_900);
+    /// assert_eq!(Tracker::new(500, 10_000).stale_until(600), 10_900);
     /// ```
     pub fn new(now: u64, longest_ms: u64) -> Tracker {
-        let mut tracker = Tracker {
-            longest_ms,
-            next: 0,
-            in_progress: SmallVec::new(),
-            unanswered_at: 0,
-            unanswered_until: 0,
-            stale_until: 0,
-        };
+        let mut tracker = Tracker { longest_ms, stale_until: 0, awaited: None };
         tracker.stale_until = tracker.end_of_lease(now);
         tracker
     }
@@ -98,68 +78,41 @@
         now.saturating_add(self.longest_ms).saturating_add(self.longest_ms / CLOCK_SLACK_DIVISOR)
     }
 
-    /// Records a call that extends the lease and ends within `limit_ms`.
-    pub fn begin(&mut self, now: u64, limit_ms: u64) -> Call {
-        self.next += 1;
-        let call = Call(self.next);
-        let until = self.end_of_lease(now.saturating_add(limit_ms));
-        self.in_progress.push(Pending { call, begun_at: now, until });
-        call
-    }
-
-    /// Records that the incarnation whose clock was read has answered a call.
-    ///
-    /// It was alive after the calls without an answer that had ended before, so none of them can
-    /// reach a later one.
-    pub fn confirm(&mut self, call: Call) {
-        let Some(pending) = self.take(call) else { return };
-        if self.unanswered_at <= pending.begun_at {
-            self.unanswered_until = 0;
-        }
-    }
-
-    /// Records that a call ended at `now` without showing which incarnation received it.
-    pub fn end_unanswered(&mut self, call: Call, now: u64) {
-        if self.take(call).is_some() {
-            self.unanswered_at = self.unanswered_at.max(now);
-            self.unanswered_until = self.unanswered_until.max(self.end_of_lease(now));
-        }
-    }
-
-    /// Records that a call had no effect and will have none.
-    pub fn cancel(&mut self, call: Call) {
-        self.take(call);
-    }
-
-    fn take(&mut self, call: Call) -> Option<Pending> {
-        let index = self.in_progress.iter().position(|pending| pending.call == call)?;
-        Some(self.in_progress.swap_remove(index))
-    }
-
-    /// Records that a later incarnation is known: it may have received each call that was not
-    /// answered by the earlier one.
+    /// Records at `now` that another incarnation is known to run or to run soon. Calls that were meant
+    /// for the one before may reach it until it has carried out a call with the fencing token `token`.
     ///
     /// ```
     /// use lavendergauge_lib::batch::lease::Tracker;
     /// let mut tracker = Tracker::new(0, 10_000);
-    /// let call = tracker.begin(20_000, 400);
-    /// tracker.confirm(call);
-    /// tracker.restart();
-    /// assert_eq!(tracker.stale_until(), 10_400);
-    /// let call = tracker.begin(30_000, 400);
-    /// tracker.end_unanswered(call, 30_300);
-    /// tracker.restart();
-    /// assert_eq!(tracker.stale_until(), 40_700);
+    /// tracker.restart(30_000, 8);
+    /// assert_eq!(tracker.stale_until(30_000), 40_400);
+    /// tracker.answer(30_500, 8);
+    /// assert_eq!(tracker.stale_until(35_000), 40_900);
     /// ```
-    pub fn restart(&mut self) {
-        let in_progress = self.in_progress.iter().map(|pending| pending.until).max().unwrap_or(0);
-        self.stale_until = self.stale_until.max(self.unanswered_until).max(in_progress);
-        self.unanswered_until = 0;
+    pub fn restart(&mut self, now: u64, token: u64) {
+        let (since, _) = self.awaited.unwrap_or((now, token));
+        self.awaited = Some((since, token));
+    }
+
+    /// Records that the incarnation that runs has answered a call with a fencing token at `now`.
+    pub fn answer(&mut self, now: u64, token: u64) {
+        if let Some((_, awaited)) = self.awaited
+            && awaited <= token
+        {
+            self.stale_until = self.stale_until(now);
+            self.awaited = None;
+        }
     }
 
     /// Returns the time until which the worker may hold a lease by the clock of an earlier
-    /// incarnation.
-    pub fn stale_until(&self) -> u64 {
-        self.stale_until
+    /// incarnation, as far as it is known at `now`.
+    pub fn stale_until(&self, now: u64) -> u64 {
+        match self.awaited {
+            Some((since, _)) => {
+                let latest = now.min(since.saturating_add(LATE_CALL_MS));
+                self.stale_until.max(self.end_of_lease(latest))
+            }
+            None => self.stale_until,
+        }
     }
 }
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -49,6 +49,7 @@
     tables.crashes.record_answer(key, report.is_worker_responsive);
     worker.is_reachable = !report.is_stopping;
     worker.session = report.session;
+    worker.epoch = worker.epoch.max(report.epoch);
     tables.changed_workers.insert(key);
     let worker = &mut tables.workers[key];
     if has_new_session {
--- a/lib/src/batch/report.rs
+++ b/lib/src/batch/report.rs
@@ -169,6 +169,10 @@
     /// incarnation, in milliseconds; 0 from an agent that does not tell.
     #[serde(default)]
     pub stale_lease_until: u64,
+    /// Epoch of the agent's calls to the worker in the term of the planner with the fencing token
+    /// above, see [`epoch`](crate::batch::epoch); 0 from an agent that does not tell.
+    #[serde(default)]
+    pub epoch: u64,
     /// The newest crashes of the worker that the agent noticed, the oldest first.
     #[serde(default)]
     pub crashes: Vec<Crash>,
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -403,6 +403,8 @@
     pub clock_read: Millis,
     /// Session of the agent's process that sent that report.
     pub session: u64,
+    /// Highest epoch of the agent's calls to the worker that it has reported.
+    pub epoch: u64,
     /// Agent's clock until which tasks may run, in milliseconds; 0 for no grant.
     pub grant_until: u64,
     /// Number of the newest end that was applied.
@@ -831,6 +833,7 @@
             agent_clock: 0,
             clock_read: Millis(0),
             session: 0,
+            epoch: 0,
             grant_until: 0,
             newest_end_seen: 0,
             acknowledged: 0,
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -576,6 +576,7 @@
             list: list.clone().filter(|_| !is_partial),
             partial_list: list.filter(|_| is_partial),
             stale_lease_until: worker.stale_lease_until,
+            epoch: 0,
             crashes: worker.crashes.clone(),
         }
     }
