batch observe: a report that a newer one has overtaken changes nothing

Cause: an agent that registers another address is polled at both until it has answered there, by two loops. A report that one of them received late was applied over a newer one. When the worker had restarted in between, the planner took the earlier incarnation for the next one and ended the runs that were listed on the present one, so that they started again elsewhere while they were at work. No run of the fleet has shown it.

Change: a report of the same process of the agent with an earlier time of its clock is dropped.

Test: batch_incarnations::overtaken_report. Before: the run was gone (left: None, right: Some(1)).

--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -28,11 +28,17 @@
 
 /// Applies a report that was received at `now` under this planner's fencing token.
 ///
-/// Returns the changes; the run of a [`Change::Unexpected`] has to be stopped.
+/// Returns the changes; the run of a [`Change::Unexpected`] has to be stopped. A report that a newer one
+/// of the same agent's process has overtaken changes nothing.
 pub fn apply_report(tables: &mut Tables, now: Millis, fence: u64, report: &Report) -> Vec<Change> {
     let mut changes = Vec::new();
     let inherited_bound = tables.took_over + table::takeover_bound();
     let key = tables.worker_at(&report.node, inherited_bound);
+    let worker = &tables.workers[key];
+    // An agent is polled at two addresses while it moves, so that reports may overtake each other.
+    if worker.session == report.session && report.clock < worker.agent_clock {
+        return changes;
+    }
     strike::apply_crashes(tables, now, key, report, &mut changes);
     apply_announcement(tables, now, key, report, &mut changes);
     if report.ended_incarnation != 0 || !report.ended_incarnations.is_empty() {
--- a/lib/tests/batch_incarnations.rs
+++ b/lib/tests/batch_incarnations.rs
@@ -39,6 +39,21 @@
     observe::apply_report(&mut sim.tables, Millis(sim.now), sim.fence, report);
 }
 
+#[test]
+fn overtaken_report() {
+    // A report that a newer one had overtaken ended the runs of the worker's next incarnation.
+    let (mut sim, _) = start(600);
+    let overtaken = sim.report_of(0);
+    sim.restart(0);
+    sim.run_for(1200);
+    sim.submit("plain", "brno", vec![step(1, 8, 2000)], 2000);
+    sim.run_for(200);
+    let (_, task, run, _) = sim.starts.last().cloned().expect("a start");
+    apply(&mut sim, &overtaken);
+    assert_eq!(sim.tables.run_of(task).map(|live| live.number), Some(run), "it is at work");
+    assert!(sim.run_until_ended(20_000));
+}
+
 #[test]
 fn reread_end() {
     // An end that could not be read at first was skipped, and its task was started again.
