batch planner: a job that was removed is not loaded again

What callers saw: nothing yet; found while auditing late messages. A job that had ended and whose time was over started again, from its first task.

Cause: the planner removes such a job from its tables before the store removes its record. Until then a list of the jobs (after the store has discarded its history, or when watches fail) still shows the record, and a notice of an entry may arrive at any time. Either was loaded as a new job, without the progress that says that it has ended.

--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -99,9 +99,16 @@
         self.tables.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    /// Loads a job's record into the tables, and starts a tick.
+    /// Loads a job's record into the tables, and starts a tick; a record of a job that has been removed
+    /// changes nothing.
     pub fn load_record(&self, id: Id, record: Record) {
-        records::load_record(&mut self.tables(), clock::boot(), clock::wall_ms(), id, record);
+        let mut tables = self.tables();
+        if tables.is_removed(id, &record) {
+            log::info!("event=removed-job-ignored job={id}");
+            return;
+        }
+        records::load_record(&mut tables, clock::boot(), clock::wall_ms(), id, record);
+        drop(tables);
         self.wake.notify_one();
     }
 
