--- a/lib/tests/batch_incarnations.rs
+++ b/lib/tests/batch_incarnations.rs
@@ -14,6 +14,7 @@
 use lavendergauge_lib::batch::order::Answer;
 use lavendergauge_lib::batch::order::Order;
 use lavendergauge_lib::batch::order::Verb;
+use lavendergauge_lib::batch::records;
 use lavendergauge_lib::batch::report::Report;
 use lavendergauge_lib::batch::table::Worker;
 use lavendergauge_lib::clock::Millis;
@@ -181,3 +182,17 @@
     apply(&mut sim, &without_run);
     assert!(sim.tables.run_of(task).is_none(), "the new process proves its end");
 }
+
+#[test]
+fn earlier_intent() {
+    // Guards against a notice from before a cancellation that starts the job's tasks again.
+    let (mut sim, task) = start(5000);
+    let id = task.instance.job;
+    let earlier = sim.records[&id].clone();
+    sim.cancel(id);
+    sim.run_for(700);
+    let (now, wall) = (Millis(sim.now), sim.wall());
+    records::load_record(&mut sim.tables, now, wall, id, earlier);
+    sim.run_for(1000);
+    assert_eq!((sim.state(id), sim.starts.len()), (Some(State::Cancelled), 1));
+}
