batch observe: a late report of an agent's earlier process changes nothing

Cause: as with a report that was overtaken, but the process has restarted in between, so that the times of the two reports cannot be compared. The earlier process's report made the planner take the worker's earlier incarnation for the next one, and ended the runs on the present one. Found by reading; no run of the fleet has shown it.

Change: the planner keeps the sessions of an agent's processes before the present one, the last four, and drops their reports.

Tests: batch_incarnations::report_of_earlier_process. Before: the run was gone (left: None, right: Some(1)). After: 10 of 10 pass, as do batch_runs, batch_indices, batch_learned, batch_capacity, batch_ended, batch_partial and planner_invariants. other_list shows that lists of another incarnation or term are not applied, before and after.

--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -26,17 +26,18 @@
 use crate::key;
 use crate::resource::Resources;
 
+/// Most earlier processes of an agent whose late reports are recognised.
+const MAX_EARLIER_SESSIONS: usize = 4;
+
 /// Applies a report that was received at `now` under this planner's fencing token.
 ///
 /// Returns the changes; the run of a [`Change::Unexpected`] has to be stopped. A report that a newer one
-/// of the same agent's process has overtaken changes nothing.
+/// of the agent has overtaken changes nothing.
 pub fn apply_report(tables: &mut Tables, now: Millis, fence: u64, report: &Report) -> Vec<Change> {
     let mut changes = Vec::new();
     let inherited_bound = tables.took_over + table::takeover_bound();
     let key = tables.worker_at(&report.node, inherited_bound);
-    let worker = &tables.workers[key];
-    // An agent is polled at two addresses while it moves, so that reports may overtake each other.
-    if worker.session == report.session && report.clock < worker.agent_clock {
+    if is_overtaken(&tables.workers[key], report) {
         return changes;
     }
     strike::apply_crashes(tables, now, key, report, &mut changes);
@@ -54,8 +55,14 @@
     worker.is_responsive = report.is_worker_responsive;
     tables.crashes.record_answer(key, report.is_worker_responsive);
     worker.is_reachable = !report.is_stopping;
-    worker.session = report.session;
     worker.epoch = worker.epoch.max(report.epoch);
+    let before = std::mem::replace(&mut worker.session, report.session);
+    if has_new_session && before != 0 {
+        if worker.earlier_sessions.len() == MAX_EARLIER_SESSIONS {
+            worker.earlier_sessions.remove(0);
+        }
+        worker.earlier_sessions.push(before);
+    }
     tables.changed_workers.insert(key);
     let worker = &mut tables.workers[key];
     if has_new_session {
@@ -98,6 +105,14 @@
     changes
 }
 
+/// Tells whether a newer report of the agent was applied before.
+///
+/// An agent is polled at two addresses while it moves, so that reports may overtake each other.
+fn is_overtaken(worker: &table::Worker, report: &Report) -> bool {
+    let is_earlier = worker.session == report.session && report.clock < worker.agent_clock;
+    is_earlier || worker.earlier_sessions.contains(&report.session)
+}
+
 /// Records that an agent did not answer: its worker gets no new work until the next report. What
 /// runs there continues under its grant.
 pub fn mark_unreachable(tables: &mut Tables, node: &str) {
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -408,6 +408,8 @@
     pub session: u64,
     /// Highest epoch of the agent's calls to the worker that it has reported.
     pub epoch: u64,
+    /// Sessions of the agent's processes before, the oldest first.
+    pub earlier_sessions: SmallVec<[u64; 4]>,
     /// Agent's clock until which tasks may run, in milliseconds; 0 for no grant.
     pub grant_until: u64,
     /// Number of the newest end that was applied.
@@ -851,6 +853,7 @@
             clock_read: Millis(0),
             session: 0,
             epoch: 0,
+            earlier_sessions: SmallVec::new(),
             grant_until: 0,
             newest_end_seen: 0,
             acknowledged: 0,
--- a/lib/tests/batch_incarnations.rs
+++ b/lib/tests/batch_incarnations.rs
@@ -55,6 +55,43 @@
     assert!(sim.run_until_ended(20_000));
 }
 
+#[test]
+fn report_of_earlier_process() {
+    // A late report of an agent's earlier process ended the runs of the worker's next incarnation.
+    let (mut sim, _) = start(600);
+    let late = sim.report_of(0);
+    sim.restart(0);
+    sim.run_for(1200);
+    sim.submit("plain", "brno", vec![step(1, 8, 60_000)], 60_000);
+    sim.run_for(200);
+    let (_, task, run, _) = sim.starts.last().cloned().expect("a start");
+    let next_process = Report { session: 2, ..sim.report_of(0) };
+    apply(&mut sim, &next_process);
+    apply(&mut sim, &late);
+    assert_eq!(sim.tables.run_of(task).map(|live| live.number), Some(run), "it is at work");
+    assert_eq!(row(&sim).session, 2);
+}
+
+#[test]
+fn other_list() {
+    // Guards against a list of another incarnation, or of an earlier term, that ends a run.
+    let (mut sim, task) = start(5000);
+    sim.run_for(100);
+    let mut report = sim.report_of(0);
+    report.list.as_mut().expect("a list").running.clear();
+    let list = report.list.clone().expect("a list");
+    for (incarnation, fence) in
+        [(list.incarnation + 1, list.fence), (list.incarnation, list.fence - 1)]
+    {
+        sim.now += 20;
+        report.clock = sim.now;
+        let (sent_at, list) = (sim.now, report.list.as_mut().expect("a list"));
+        (list.incarnation, list.fence, list.sent_at) = (incarnation, fence, sent_at);
+        apply(&mut sim, &report);
+        assert!(sim.tables.run_of(task).is_some());
+    }
+}
+
 #[test]
 fn reread_end() {
     // An end that could not be read at first was skipped, and its task was started again.
