batch: a job has started once a worker has said so

Cause: a job counted as started from its first planned run on.

Change: a job counts as started by a worker's answer to a start, by a run or an end in its list, or by a confirmed run in the report of a crash. Its progress says that this has not happened (`unstarted`), with the records that are written anyway; the field is left out afterwards. A start without an answer does not count. A run that an earlier planner left counts until it is known not to exist. Earlier versions skip the field, and records without it are read as before; for that, the outermost fields of progress without names have names again. The check of the simulation compares the new figure with its computation from scratch.

--- a/daemon/src/batch/record_codec.rs
+++ b/daemon/src/batch/record_codec.rs
@@ -1,7 +1,7 @@
 //! Encodes the durable records of jobs, as values whose length the store limits.
 //!
-//! A short value has named fields. A longer one has none, which every version reads too. Progress
-//! that is longer still has a packed form of its own.
+//! A short value has named fields. In a longer one most have none, which every version reads too.
+//! Progress that is longer still has a packed form of its own.
 
 use std::collections::BTreeMap;
 
@@ -65,6 +65,20 @@
     ended_ms: u64,
     #[serde(default, skip_serializing_if = "Bytes::is_empty")]
     packed: Bytes,
+    #[serde(default, skip_serializing_if = "is_false")]
+    unstarted: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !*value
+}
+
+/// Progress whose own fields have names in every form, so that earlier versions skip those that they do
+/// not know; its occurrences have none in the form without names.
+#[derive(Serialize)]
+struct Outline<'a> {
+    #[serde(flatten)]
+    progress: &'a Progress,
 }
 
 /// The packed form: fields without names, and each worker once.
@@ -179,7 +193,7 @@
             return Ok(named);
         }
     }
-    let unnamed = codec::pack_unnamed(progress)?;
+    let unnamed = codec::pack_unnamed(&Outline { progress })?;
     if unnamed.len() <= limit {
         return Ok(unnamed);
     }
@@ -233,6 +247,7 @@
         outcome: Some(Outcome::Failed),
         ended_ms: FAR_FUTURE_MS,
         packed: codec::pack_unnamed(&packed)?,
+        unstarted: progress.unstarted,
     })?)
 }
 
@@ -241,9 +256,10 @@
 /// # Errors
 /// When the value is malformed.
 pub fn decode_progress(value: &[u8]) -> Result<Progress, Error> {
-    let Envelope { from, occurrences, outcome, ended_ms, packed } = codec::unpack(value)?;
+    let Envelope { from, occurrences, outcome, ended_ms, packed, unstarted } =
+        codec::unpack(value)?;
     if packed.is_empty() {
-        return Ok(Progress { from, occurrences, outcome, ended_ms });
+        return Ok(Progress { from, occurrences, outcome, ended_ms, unstarted });
     }
     let Packed { from, outcome, ended_ms, workers, occurrences } = codec::unpack(&packed)?;
     let unpack_task = |task: PackedTask| -> Result<Task, Error> {
@@ -267,5 +283,5 @@
     };
     let occurrences: Result<Vec<Occurrence>, Error> =
         occurrences.into_iter().map(unpack_occurrence).collect();
-    Ok(Progress { from, occurrences: occurrences?, outcome, ended_ms })
+    Ok(Progress { from, occurrences: occurrences?, outcome, ended_ms, unstarted })
 }
--- a/daemon/tests/record_codec.rs
+++ b/daemon/tests/record_codec.rs
@@ -1,5 +1,6 @@
 //! The stored forms of jobs' records and progress.
 
+use bytes::Bytes;
 use lavendergauge_daemon::batch::record_codec;
 use lavendergauge_daemon::batch::record_codec::Error;
 use lavendergauge_daemon::settings;
@@ -20,6 +21,7 @@
 use proptest::collection::vec;
 use proptest::option;
 use proptest::prelude::*;
+use serde::Deserialize;
 
 /// Longest value of the store, in bytes.
 const LIMIT: usize = 1 << 20;
@@ -74,7 +76,7 @@
     {
         let tasks = most_tasks(long_running);
         assert!(least < tasks, "{tasks} tasks");
-        let progress = used_progress(tasks as usize, number, "");
+        let progress = Progress { unstarted: true, ..used_progress(tasks as usize, number, "") };
         let value = record_codec::encode_progress(&progress, LIMIT).unwrap();
         assert!(value.len() <= LIMIT);
         assert_eq!(record_codec::decode_progress(&value).unwrap(), progress);
@@ -149,6 +151,39 @@
     assert_eq!(record_codec::decode_progress(&earlier).unwrap(), progress);
 }
 
+/// Progress as versions read it that do not know [`Progress::unstarted`].
+#[derive(Debug, PartialEq, Deserialize)]
+struct EarlierProgress {
+    from: u32,
+    occurrences: Vec<Occurrence>,
+    outcome: Option<Outcome>,
+    ended_ms: u64,
+    #[serde(default)]
+    packed: Bytes,
+}
+
+#[test]
+fn unstarted_in_earlier_version() {
+    // Guards against a job that is held, since the version that takes over cannot read its progress.
+    for tasks in [10, 5000, MANY_TASKS] {
+        for unstarted in [false, true] {
+            let progress =
+                Progress { unstarted, from: 1, ..used_progress(tasks, 7, &"c".repeat(20)) };
+            let value = record_codec::encode_progress(&progress, LIMIT).unwrap();
+            assert_eq!(record_codec::decode_progress(&value).unwrap(), progress);
+            let read: EarlierProgress = codec::unpack(&value).unwrap();
+            assert_eq!(read.packed.is_empty(), tasks != MANY_TASKS);
+            if read.packed.is_empty() {
+                assert_eq!((read.from, read.occurrences), (1, progress.occurrences));
+            }
+        }
+        let progress = used_progress(tasks, 7, "c");
+        for earlier in [codec::pack(&progress), codec::pack_unnamed(&progress)] {
+            assert_eq!(record_codec::decode_progress(&earlier.unwrap()).unwrap(), progress);
+        }
+    }
+}
+
 #[test]
 fn record_of_many_steps() {
     let record = |steps: usize| Record {
@@ -190,9 +225,10 @@
 
 proptest! {
     #[test]
-    fn read_as_written(steps in vec(vec(task(), 0..40), 0..4), from in 0..9_u32, tight in any::<bool>()) {
+    fn read_as_written(steps in vec(vec(task(), 0..40), 0..4), from in 0..9_u32, unstarted in any::<bool>(),
+        tight in any::<bool>()) {
         let occurrences = vec![Occurrence { number: from, steps }];
-        let progress = Progress { from, occurrences, ..Progress::default() };
+        let progress = Progress { from, occurrences, unstarted, ..Progress::default() };
         let named = codec::pack(&progress).unwrap().len();
         // A limit below the named form calls for the others.
         let limit = if tight { named - 1 } else { named };
--- a/lib/src/batch/assign.rs
+++ b/lib/src/batch/assign.rs
@@ -491,8 +491,7 @@
 ) {
     let incarnation = tables.workers[worker].incarnation;
     tables.touch(task.instance.job);
-    let Some(job) = tables.jobs.get_mut(&task.instance.job) else { return };
-    job.started = true;
+    let Some(job) = tables.jobs.get(&task.instance.job) else { return };
     let version = job.version;
     let mut stalls = 0;
     if let Some(task_state) = tables.task_state_mut(task) {
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -332,6 +332,7 @@
     if !end.checkpoint.is_empty() && end.run == task_state.run {
         task_state.checkpoint = end.checkpoint.clone();
     }
+    tables.note_started(task.instance.job);
     let current = live_run_of(tables, key, end);
     if let Some(current) = current.filter(|_| end.ending == Ending::Done) {
         speed::observe_end(tables, current, now);
@@ -452,6 +453,9 @@
         let live = task_state.and_then(|task_state| task_state.live);
         let is_suspected = task_state.is_some_and(strike::is_suspected);
         let newest_run = task_state.map_or(u32::MAX, |task_state| task_state.run);
+        if task_state.is_some() && row.run <= newest_run {
+            tables.note_started(row.task.instance.job);
+        }
         let found = live.and_then(|live| tables.runs.get_mut(live)).filter(|run| {
             run.number == row.run && run.worker == key && run.incarnation == list.incarnation
         });
--- a/lib/src/batch/order.rs
+++ b/lib/src/batch/order.rs
@@ -86,12 +86,15 @@
 /// Applies the answer to an order.
 pub fn apply_answer(tables: &mut Tables, now: Millis, order: &Order, answer: &Answer) {
     let gang = tables.step(order.task.instance).is_some_and(|step| step.gang);
+    let starts = matches!(order.verb, Verb::Start { .. });
+    if starts && matches!(answer, Answer::Done(_)) {
+        tables.note_started(order.task.instance.job);
+    }
     let Some(key) = tables.task_state(order.task).and_then(|task_state| task_state.live) else {
         return;
     };
     let Some(run) = tables.runs.get_mut(key).filter(|run| run.number == order.run) else { return };
     let worker = run.worker;
-    let starts = matches!(order.verb, Verb::Start { .. });
     if !starts && run.incarnation != order.incarnation {
         // The worker has restarted since. The earlier incarnation's answer proves nothing about
         // this one.
--- a/lib/src/batch/progress.rs
+++ b/lib/src/batch/progress.rs
@@ -34,6 +34,10 @@
     *number == 0
 }
 
+fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 impl Crashes {
     /// Returns the number of crashes under runs that certainly existed.
     ///
@@ -111,4 +115,8 @@
     pub outcome: Option<Outcome>,
     /// When the job ended, in Unix milliseconds; 0 before.
     pub ended_ms: u64,
+    /// Whether no worker has said that a recorded run started. It is left out while it is false; earlier
+    /// versions do not write it, and take every recorded run for one that started.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub unstarted: bool,
 }
--- a/lib/src/batch/records.rs
+++ b/lib/src/batch/records.rs
@@ -123,7 +123,8 @@
         };
         let steps: Vec<Vec<TaskState>> =
             recorded.steps.iter().map(|tasks| tasks.iter().map(task_state).collect()).collect();
-        job.started |= steps.iter().flatten().any(|task_state| task_state.run != 0);
+        let has_run = steps.iter().flatten().any(|task_state| task_state.run != 0);
+        job.started |= has_run && !progress.unstarted;
         let due = due(job, now, wall_ms, recorded.number);
         job.occurrences.insert(recorded.number, table::Occurrence { steps, due });
     }
@@ -177,7 +178,7 @@
             Some(WorkerIncarnation { node: worker.node.clone(), incarnation: run.incarnation })
         }),
     };
-    let occurrences = job
+    let occurrences: Vec<progress::Occurrence> = job
         .occurrences
         .iter()
         .map(|(&number, occurrence)| progress::Occurrence {
@@ -189,8 +190,14 @@
                 .collect(),
         })
         .collect();
-    let progress =
-        Progress { from: job.from, occurrences, outcome: job.outcome, ended_ms: job.ended_ms };
+    let has_run = |row: &progress::Occurrence| row.steps.iter().flatten().any(|task| task.run != 0);
+    let progress = Progress {
+        from: job.from,
+        unstarted: !job.started && job.outcome.is_none() && occurrences.iter().any(has_run),
+        occurrences,
+        outcome: job.outcome,
+        ended_ms: job.ended_ms,
+    };
     Some((job.version, progress))
 }
 
--- a/lib/src/batch/strike.rs
+++ b/lib/src/batch/strike.rs
@@ -305,6 +305,10 @@
 
 /// Counts a crash against a task, once for each run; tells whether it was counted.
 fn record_crash(tables: &mut Tables, now: Millis, run: &crash::Run, evidence: Evidence) -> bool {
+    let newest_run = tables.task_state(run.task).map_or(0, |task_state| task_state.run);
+    if run.is_confirmed && run.number <= newest_run {
+        tables.note_started(run.task.instance.job);
+    }
     let Some(task_state) = tables.task_state_mut(run.task) else { return false };
     let crashes = &mut task_state.crashes;
     if task_state.done || run.number <= crashes.run {
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -297,8 +297,10 @@
     pub next: u32,
     /// Number of the first occurrence that has not ended.
     pub from: u32,
-    /// Whether a task has ever started.
+    /// Whether a worker has said that a task started, as far as known.
     pub started: bool,
+    /// Number of runs that an earlier planner left and that may exist.
+    pub inherited: u32,
     /// How the job ended, as decided; maybe not recorded yet.
     pub outcome: Option<Outcome>,
     /// How the job ended, as recorded; this is what its caller sees.
@@ -313,12 +315,15 @@
 
 impl Job {
     /// Returns the state that is reported to the job's caller.
+    ///
+    /// A start that has not been answered does not count. A run of an earlier planner, which may have been
+    /// reported as running, counts until it is known not to exist.
     pub fn state(&self) -> State {
         match self.recorded_outcome {
             Some(Outcome::Completed) => State::Completed,
             Some(Outcome::Failed) => State::Failed,
             None if self.record.intent != Intent::Wanted => State::Cancelled,
-            None if self.started => State::Running,
+            None if self.started || self.inherited != 0 => State::Running,
             None => State::Queued,
         }
     }
@@ -664,6 +669,7 @@
             next: 0,
             from: 0,
             started: false,
+            inherited: 0,
             outcome: None,
             recorded_outcome: None,
             ended_ms: 0,
@@ -728,6 +734,7 @@
         let task = run.task;
         let demand = self.step(task.instance)?.resources();
         let (worker, incarnation, phase) = (run.worker, run.incarnation, run.phase);
+        let is_inherited = run.is_inherited();
         let key = self.runs.insert(Run { demand, ..run });
         if let Some(task_state) = self.task_state_mut(task) {
             task_state.live = Some(key);
@@ -738,10 +745,11 @@
                 row.used = row.used.plus(demand);
             }
         }
-        if phase == Phase::Planned
-            && let Some(job) = self.jobs.get_mut(&task.instance.job)
-        {
-            job.planned.push(key);
+        if let Some(job) = self.jobs.get_mut(&task.instance.job) {
+            job.inherited += u32::from(is_inherited);
+            if phase == Phase::Planned {
+                job.planned.push(key);
+            }
         }
         self.unsettled.insert(task.instance.job);
         self.changed_workers.insert(worker);
@@ -770,16 +778,24 @@
             row.runs.retain(|known| *known != key);
         }
         self.recount(run.worker);
-        if run.phase == Phase::Planned
-            && let Some(job) = self.jobs.get_mut(&run.task.instance.job)
-        {
-            job.planned.retain(|known| *known != key);
+        if let Some(job) = self.jobs.get_mut(&run.task.instance.job) {
+            job.inherited = job.inherited.saturating_sub(u32::from(run.is_inherited()));
+            if run.phase == Phase::Planned {
+                job.planned.retain(|known| *known != key);
+            }
         }
         self.unsettled.insert(run.task.instance.job);
         self.changed_workers.insert(run.worker);
         Some(run)
     }
 
+    /// Notes that a worker has said that a task of a job started.
+    pub(super) fn note_started(&mut self, id: Id) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.started = true;
+        }
+    }
+
     /// Marks a run to be stopped; one that was never ordered is dropped at once.
     pub fn stop_run(&mut self, key: key::Run, cause: Cause) {
         let Some(run) = self.runs.get_mut(key) else { return };
--- a/lib/tests/batch_sim/indices.rs
+++ b/lib/tests/batch_sim/indices.rs
@@ -1,9 +1,11 @@
 //! Compares the figures and lists that the planner's tables keep with their computation from
 //! scratch.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use lavendergauge_lib::batch::hold;
+use lavendergauge_lib::batch::job::Id;
 use lavendergauge_lib::batch::job::StepInstance;
 use lavendergauge_lib::batch::job::Task;
 use lavendergauge_lib::batch::table::Job;
@@ -79,7 +81,13 @@
 }
 
 fn check_jobs(tables: &Tables) {
+    let mut inherited: BTreeMap<Id, u32> = BTreeMap::new();
+    for run in tables.runs.values().filter(|run| run.is_inherited()) {
+        *inherited.entry(run.task.instance.job).or_default() += 1;
+    }
     for (id, job) in &tables.jobs {
+        let count = inherited.get(id).copied().unwrap_or(0);
+        assert_eq!(job.inherited, count, "runs of {id} by an earlier planner");
         if tables.unsettled.contains(id) {
             continue;
         }
