batch omission: a run whose end is not listed yet is not replaced after its stop

Cause: a worker lists 500 ends at a time. While the planner cannot record ends, and so acknowledges none, a run whose end follows them is listed neither as running nor as ended. After 4 s it counted as stuck and was stopped; once the stop was confirmed and its grace was over, it was taken for lost and its task was started again, although it had succeeded and that end was then listed and acknowledged.

Change: a stopped run is not taken for lost by a list that further ends may follow. Ends of a held job are never acknowledged, so that with one of them the grace counts as before. The simulation lists 500 ends at a time, as the platform's workers do; before, it listed all.

Test: batch_partial::end_beyond_list.

--- a/lib/src/batch/omission.rs
+++ b/lib/src/batch/omission.rs
@@ -10,16 +10,20 @@
 use crate::batch::table::Phase;
 use crate::batch::table::Run;
 use crate::batch::table::Tables;
+use crate::batch::table::Worker;
 use crate::clock::Millis;
 use crate::key;
 
 /// Time beyond its grace in which a stopped run ends that the worker does not list, in milliseconds.
 const STOP_SLACK_MS: u64 = 1000;
+/// Number of ends that a worker lists at a time.
+const MAX_LISTED_ENDS: usize = 500;
 
 /// Ends the runs that are missing from a list, if the list was requested after their newest order
 /// was settled.
 ///
-/// A run that a partial list omits may exist. It ends only after the worker has confirmed a stop.
+/// A run that a partial list omits may exist. It ends only after the worker has confirmed a stop, and not
+/// while its end may be among those that follow the listed ones.
 pub(super) fn end_missing_runs(
     tables: &mut Tables,
     now: Millis,
@@ -51,7 +55,17 @@
     if !tables.workers[key].has_partial_list {
         return settled_at < list.sent_at;
     }
+    if may_list_more(&tables.workers[key], list) {
+        return false;
+    }
     let is_stopped = matches!(run.phase, Phase::Stopping(_)) && run.is_stop_acknowledged;
     let grace_ms = tables.bounds.stop_grace_ms.saturating_add(STOP_SLACK_MS);
     is_stopped && settled_at.saturating_add(grace_ms) < list.sent_at
 }
+
+/// Tells whether further ends follow the listed ones, and will be listed once those are acknowledged. The
+/// ends of a held job never are.
+fn may_list_more(worker: &Worker, list: &List) -> bool {
+    let is_held_up = worker.unrecorded.values().any(|version| *version == u64::MAX);
+    MAX_LISTED_ENDS <= list.ends.len() && !is_held_up
+}
--- a/lib/tests/batch_partial.rs
+++ b/lib/tests/batch_partial.rs
@@ -2,6 +2,7 @@
 
 mod batch_sim;
 
+use batch_sim::MAX_LISTED_ENDS;
 use batch_sim::Simulation;
 use batch_sim::step;
 use lavendergauge_lib::batch::change::Change;
@@ -41,6 +42,35 @@
     }
 }
 
+#[test]
+fn end_beyond_list() {
+    // A run whose end was beyond the first 500 was stopped, taken for lost and started again.
+    let mut sim = Simulation::new(1);
+    sim.workers.truncate(1);
+    sim.take_over();
+    sim.run_for(100);
+    let first = sim.submit("plain", "brno", vec![step(1, 1, 300)], 300);
+    let last = sim.submit("plain", "brno", vec![step(1, 1, 600)], 600);
+    sim.run_for(100);
+    sim.store_down = true;
+    sim.run_for(300);
+    let worker = &mut sim.workers[0];
+    assert_eq!(worker.ends.len(), 1, "it is kept until it is recorded");
+    for _ in 0..MAX_LISTED_ENDS {
+        worker.last_end += 1;
+        let end = End { number: worker.last_end, ..worker.ends[0].clone() };
+        worker.ends.push(end);
+    }
+    sim.run_for(8000);
+    sim.store_down = false;
+    assert!(sim.run_until_ended(5000));
+    assert_eq!(
+        (sim.state(first), sim.state(last)),
+        (Some(State::Completed), Some(State::Completed))
+    );
+    assert_eq!(sim.starts.len(), 2);
+}
+
 #[test]
 fn omitted_without_progress() {
     // What is never listed makes no progress: it is stopped, and replaced once it has ended.
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -54,6 +54,9 @@
 /// Time that a stopped run takes to end, in milliseconds.
 const STOP_MS: u64 = 400;
 
+/// Most ends that a worker lists at a time.
+pub const MAX_LISTED_ENDS: usize = 500;
+
 /// Time for which a worker is down after a crash, in milliseconds.
 pub const DOWN_MS: u64 = 3000;
 
@@ -559,9 +562,9 @@
                 .filter(|(task, _)| !worker.omitted.contains(task))
                 .map(row)
                 .collect(),
-            ends: worker.ends.clone(),
+            ends: worker.ends.iter().take(MAX_LISTED_ENDS).cloned().collect(),
         });
-        let is_partial = !worker.omitted.is_empty();
+        let is_partial = !worker.omitted.is_empty() || MAX_LISTED_ENDS <= worker.ends.len();
         Report {
             node: worker.node.clone(),
             clock: self.now,
