net: a call that is given up resets its connection

Cause: a call that was given up closed its connection in order.

Change: SO_LINGER of 0 is set before the first write to a connection, so that any close resets it, also by the kernel of a killed process. A call that ends at its deadline or with its future makes further writes to its connection fail (net/src/abort.rs). The connector no longer announces HTTP/2 to the pool; the client never offered it, so no call shared a connection. A connection without a write is closed in order, as tests/guarded_body wants it.

--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod http;
 pub mod kv;
 mod kv_watch;
+pub mod link;
 pub mod relay;
 pub mod runtime;
 pub mod target;
--- a/net/src/client.rs
+++ b/net/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::iter;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper_util::client::legacy::Client as Pool;
+use hyper_util::client::legacy::connect;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 use serde::Serialize;
@@ -20,6 +22,7 @@
 
 use lavendergauge_wire::codec;
 
+use crate::abort;
 use crate::body;
 use crate::body::Body;
 use crate::connector::Connector;
@@ -100,6 +103,10 @@
 }
 
 /// A pooled HTTP client.
+///
+/// It speaks HTTP/1.1 only, so that no two calls use a connection at a time. When a call is given up,
+/// at its deadline or as its future is dropped, its connection is reset: what a network partition
+/// holds up of it does not arrive later.
 #[derive(Clone, Debug)]
 pub struct Client {
     pool: Pool<Connector, Body>,
@@ -190,14 +197,20 @@
         if let Some(key) = &self.fleet_key {
             request.headers_mut().insert(FLEET_KEY_HEADER, key.clone());
         }
-        match time::timeout(deadline, self.pool.request(request)).await {
-            Err(_) => Err(Error::Timeout(deadline)),
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(error)) if error.is_connect() && is_refused(&error) => {
+        let connection = connect::capture_connection(&mut request);
+        let mut sending = pin!(self.pool.request(request));
+        let guard = abort::Guard::new(connection);
+        let Ok(outcome) = time::timeout(deadline, sending.as_mut()).await else {
+            return Err(Error::Timeout(deadline));
+        };
+        guard.end();
+        match outcome {
+            Ok(response) => Ok(response),
+            Err(error) if error.is_connect() && is_refused(&error) => {
                 Err(Error::NoListener(describe(&error)))
             }
-            Ok(Err(error)) if error.is_connect() => Err(Error::Connect(describe(&error))),
-            Ok(Err(error)) => match withheld(&error) {
+            Err(error) if error.is_connect() => Err(Error::Connect(describe(&error))),
+            Err(error) => match withheld(&error) {
                 Some(withheld) => Err(Error::Withheld(withheld)),
                 None => Err(Error::Broken(describe(&error))),
             },
--- a/net/src/connector.rs
+++ b/net/src/connector.rs
@@ -23,6 +23,7 @@
 use tokio_rustls::client::TlsStream;
 use tower_service::Service;
 
+use crate::abort;
 use crate::body::Cause;
 use crate::tls::Trust;
 
@@ -86,7 +87,7 @@
                 None => Transport::Plain(plain),
                 Some(trust) => Transport::Tls(Box::new(start_tls(&trust, plain).await?)),
             };
-            Ok(Stream { transport, _permit: permit })
+            Ok(Stream { transport, abort: abort::Flag::default(), resets: false, _permit: permit })
         })
     }
 }
@@ -110,12 +111,38 @@
 }
 
 /// An open connection, which counts against the connector's limit until it is dropped.
+///
+/// From the first write on, closing it resets it, also when the process is killed. A call that is
+/// given up closes its connection; the kernel would otherwise go on sending what it holds of the
+/// call, which would arrive at the end of a network partition.
 #[derive(Debug)]
 pub struct Stream {
     transport: Transport,
+    abort: abort::Flag,
+    /// Whether the connection is reset when it is closed.
+    resets: bool,
     _permit: OwnedSemaphorePermit,
 }
 
+impl Stream {
+    fn tcp(&self) -> &TcpStream {
+        match &self.transport {
+            Transport::Plain(stream) => stream.inner(),
+            Transport::Tls(stream) => stream.inner().get_ref().0,
+        }
+    }
+
+    /// Makes the kernel reset the connection when it is closed; fails once it is aborted.
+    fn prepare_write(&mut self) -> io::Result<()> {
+        self.abort.check()?;
+        if !self.resets {
+            self.tcp().set_zero_linger()?;
+            self.resets = true;
+        }
+        Ok(())
+    }
+}
+
 /// Calls a method of a stream's transport.
 macro_rules! transport {
     ($stream:expr, $method:ident($($argument:expr),*)) => {
@@ -128,17 +155,8 @@
 
 impl Connection for Stream {
     fn connected(&self) -> Connected {
-        match &self.transport {
-            Transport::Plain(stream) => stream.connected(),
-            Transport::Tls(stream) => {
-                let (tcp, session) = stream.inner().get_ref();
-                let connected = tcp.connected();
-                match session.alpn_protocol() {
-                    Some(b"h2") => connected.negotiated_h2(),
-                    _ => connected,
-                }
-            }
-        }
+        // Without HTTP/2: the pool would let several calls share the connection.
+        self.tcp().connected().extra(self.abort.clone())
     }
 }
 
@@ -154,18 +172,24 @@
 
 impl Write for Stream {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
         transport!(self, poll_write(cx, bytes))
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.abort.check()?;
         transport!(self, poll_flush(cx))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.resets {
+            // The end of the stream would follow what the kernel still holds.
+            return Poll::Ready(Ok(()));
+        }
         transport!(self, poll_shutdown(cx))
     }
 
@@ -177,10 +201,11 @@
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
         transport!(self, poll_write_vectored(cx, slices))
     }
 }
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -1,5 +1,6 @@
 //! HTTP and TLS for lavendergauge's processes: a server loop and a pooled client over hyper.
 
+mod abort;
 pub mod body;
 pub mod budget;
 pub mod client;
