batch observe: an end that could not be read is not acknowledged before it is recorded

An end as done could be dropped by its worker before it was recorded, and its task started again.

Cause: of a list with an item that cannot be read, the planner applied the ends after it and acknowledged the newest number, since nothing was unrecorded. Only the agent's own list held the acknowledgement back: once the item could be read there, the agent sent it at once, though no planner had applied the end, or had recorded it.

Change: the agent's list says which end is the newest before the first unreadable one, and the planner acknowledges none beyond it. When the item can be read, its end counts as unrecorded like any other.

Tests: batch_incarnations::unreadable_end.

--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -219,6 +219,7 @@
         received_at: clock::boot().0,
         running: snapshot.running,
         ends: snapshot.ends,
+        last_readable_end: snapshot.last_readable_end,
     };
     let must_report = poll.has_new_orders
         || state.is_list_partial != snapshot.is_partial
--- a/lib/benches/batch_scale.rs
+++ b/lib/benches/batch_scale.rs
@@ -198,6 +198,7 @@
                 received_at: 0,
                 running: runs,
                 ends: Vec::new(),
+                last_readable_end: None,
             }),
             crashes: Vec::new(),
         }
--- a/lib/src/batch/hold.rs
+++ b/lib/src/batch/hold.rs
@@ -55,9 +55,7 @@
     for key in std::mem::take(&mut job.unrecorded_at) {
         let Some(worker) = tables.workers.get_mut(key) else { continue };
         worker.unrecorded.remove(&id);
-        if worker.unrecorded.is_empty() {
-            worker.acknowledged = worker.newest_end_seen;
-        }
+        worker.acknowledge_recorded();
     }
 }
 
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -150,6 +150,7 @@
     let has_new_incarnation = worker.incarnation != announcement.incarnation;
     if has_new_incarnation {
         worker.newest_end_seen = 0;
+        worker.last_readable_end = None;
         worker.acknowledged = 0;
         worker.unrecorded.clear();
         worker.health = Default::default();
@@ -268,6 +269,7 @@
     list: &List,
     changes: &mut Vec<Change>,
 ) {
+    tables.workers[key].last_readable_end = list.last_readable_end;
     for end in &list.ends {
         let newest = tables.workers[key].newest_end_seen;
         // One that could not be read in an earlier list may have a lower number than others there.
@@ -289,10 +291,7 @@
             }
         }
     }
-    let worker = &mut tables.workers[key];
-    if worker.unrecorded.is_empty() {
-        worker.acknowledged = worker.newest_end_seen;
-    }
+    tables.workers[key].acknowledge_recorded();
 }
 
 /// Notes that a worker has to keep its ends until a version of a job is recorded.
--- a/lib/src/batch/records.rs
+++ b/lib/src/batch/records.rs
@@ -232,9 +232,7 @@
         } else if worker.unrecorded.contains_key(&id) {
             job.unrecorded_at.push(key);
         }
-        if worker.unrecorded.is_empty() {
-            worker.acknowledged = worker.newest_end_seen;
-        }
+        worker.acknowledge_recorded();
     }
 }
 
--- a/lib/src/batch/report.rs
+++ b/lib/src/batch/report.rs
@@ -128,6 +128,10 @@
     pub running: Vec<ListedRun>,
     /// Ends of runs that the worker still has to list.
     pub ends: Vec<End>,
+    /// Number of the newest end before the first one that cannot be decoded: the worker must not drop
+    /// later ones. `None` if all can be decoded, and from an agent that does not tell.
+    #[serde(default)]
+    pub last_readable_end: Option<u64>,
 }
 
 /// Report of an agent.
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -419,6 +419,9 @@
     pub grant_until: u64,
     /// Number of the newest end that was applied.
     pub newest_end_seen: u64,
+    /// Number of the newest end before the first one that could not be read in the worker's newest
+    /// list; `None` if all could.
+    pub last_readable_end: Option<u64>,
     /// Number of the newest end that the worker may discard.
     pub acknowledged: u64,
     /// Jobs with ends from this worker that are not recorded yet, with the version that contains
@@ -471,6 +474,16 @@
     fn occupied(&self) -> Resources {
         self.used.plus(self.stray)
     }
+
+    /// Lets the worker discard the ends that were applied, once all of them are recorded.
+    ///
+    /// An end that could not be read, and may be later, is not applied yet.
+    pub fn acknowledge_recorded(&mut self) {
+        if self.unrecorded.is_empty() {
+            let readable = self.last_readable_end.unwrap_or(u64::MAX);
+            self.acknowledged = self.acknowledged.max(self.newest_end_seen.min(readable));
+        }
+    }
 }
 
 /// Capacity reserved for a waiting step; other runs may still use it, see [`crate::batch::backfill`].
@@ -872,6 +885,7 @@
             earlier_sessions: SmallVec::new(),
             grant_until: 0,
             newest_end_seen: 0,
+            last_readable_end: None,
             acknowledged: 0,
             unrecorded: BTreeMap::new(),
             health: health::Health::default(),
--- a/lib/tests/batch_incarnations.rs
+++ b/lib/tests/batch_incarnations.rs
@@ -115,6 +115,35 @@
     assert_eq!((sim.state(id), sim.starts.len()), (Some(State::Completed), 2));
 }
 
+#[test]
+fn unreadable_end() {
+    // An end that could not be read was acknowledged with a later one, and dropped before it was recorded.
+    let mut sim = Simulation::new(1);
+    sim.workers.truncate(1);
+    sim.take_over();
+    sim.run_for(100);
+    sim.submit("plain", "brno", vec![step(2, 4, 600)], 600);
+    sim.run_for(200);
+    sim.workers[0].reachable = false;
+    sim.run_for(700);
+    let readable = sim.report_of(0);
+    let mut report = readable.clone();
+    let mut partial = report.list.take();
+    if let Some(list) = &mut partial {
+        list.ends.remove(0);
+        list.last_readable_end = Some(0);
+    }
+    report.partial_list = partial;
+    apply(&mut sim, &report);
+    sim.run_for(200);
+    assert!(row(&sim).unrecorded.is_empty());
+    assert_eq!(row(&sim).acknowledged, 0);
+    apply(&mut sim, &readable);
+    assert_eq!(row(&sim).acknowledged, 0, "it is not recorded yet");
+    sim.run_for(200);
+    assert_eq!(row(&sim).acknowledged, 2);
+}
+
 #[test]
 fn lower_end_numbers() {
     // Guards against ends of a new incarnation that count as known, or are acknowledged unrecorded.
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -563,6 +563,7 @@
                 .map(row)
                 .collect(),
             ends: worker.ends.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            last_readable_end: None,
         });
         let is_partial = !worker.omitted.is_empty() || MAX_LISTED_ENDS <= worker.ends.len();
         Report {
