batch lease: late calls count from the newest of several restarts

Cause: while no call was answered, the time in which late calls may be carried out counted from the first of several restarts. A call to the incarnation in between, which extended the lease, may be carried out later than that, and the agent reported a bound that was too short by the time between the restarts.

Change: the time counts from the newest restart.

Test: batch_epoch::second_restart. Before: "assertion failed: carried_out_at + LONGEST_MS <= tracker.stale_until(carried_out_at)".

--- a/lib/src/batch/lease.rs
+++ b/lib/src/batch/lease.rs
@@ -52,8 +52,8 @@
 pub struct Tracker {
     longest_ms: u64,
     stale_until: u64,
-    /// Since when calls for an earlier incarnation may be carried out, and the lowest fencing token of
-    /// a call after which they are refused; `None` once one was answered.
+    /// When the last call for an earlier incarnation may have been sent, and the lowest fencing token
+    /// of a call after which they are refused; `None` once one was answered.
     awaited: Option<(u64, u64)>,
 }
 
@@ -90,8 +90,8 @@
     /// assert_eq!(tracker.stale_until(35_000), 40_900);
     /// ```
     pub fn restart(&mut self, now: u64, token: u64) {
-        let (since, _) = self.awaited.unwrap_or((now, token));
-        self.awaited = Some((since, token));
+        // Calls for the incarnation before may have been sent until now.
+        self.awaited = Some((now, token));
     }
 
     /// Records that the incarnation that runs has answered a call with a fencing token at `now`.
@@ -108,8 +108,8 @@
     /// incarnation, as far as it is known at `now`.
     pub fn stale_until(&self, now: u64) -> u64 {
         match self.awaited {
-            Some((since, _)) => {
-                let latest = now.min(since.saturating_add(LATE_CALL_MS));
+            Some((sent_until, _)) => {
+                let latest = now.min(sent_until.saturating_add(LATE_CALL_MS));
                 self.stale_until.max(self.end_of_lease(latest))
             }
             None => self.stale_until,
--- a/lib/tests/batch_epoch.rs
+++ b/lib/tests/batch_epoch.rs
@@ -233,6 +233,16 @@
     }
 }
 
+#[test]
+fn second_restart() {
+    // Late calls of the incarnation between two restarts counted as sent before the first.
+    let mut tracker = Tracker::new(0, LONGEST_MS);
+    tracker.restart(20_000, 8);
+    tracker.restart(34_000, 9);
+    let carried_out_at = 34_000 + lease::LATE_CALL_MS;
+    assert!(carried_out_at + LONGEST_MS <= tracker.stale_until(carried_out_at));
+}
+
 #[test]
 fn repeated_acknowledgement() {
     let mut reader = Reader::new(7);
