batch epoch: a test of an answer to a call of an earlier epoch

Two mutations survived the tests: an answer of any epoch that ends the wait for the present one, and an epoch that counts as unused after calls with its token. Both fail batch_epoch::earlier_answer now; it passes on the code as it is.

--- a/lib/tests/batch_epoch.rs
+++ b/lib/tests/batch_epoch.rs
@@ -243,6 +243,20 @@
     assert!(carried_out_at + LONGEST_MS <= tracker.stale_until(carried_out_at));
 }
 
+#[test]
+fn earlier_answer() {
+    // Guards against an answer to a call of an earlier epoch that counts as one to the present epoch's.
+    let mut tracker = Tracker::new(0, LONGEST_MS);
+    tracker.restart(20_000, 8);
+    tracker.answer(20_100, 7);
+    assert!(25_000 + LONGEST_MS <= tracker.stale_until(25_000));
+    let mut epoch = Epoch::default();
+    epoch.begin_term(FENCE);
+    assert!(epoch.is_unused(epoch.token(FENCE)));
+    epoch.mark_used();
+    assert!(!epoch.is_unused(epoch.token(FENCE)), "late calls carry the same token");
+}
+
 #[test]
 fn repeated_acknowledgement() {
     let mut reader = Reader::new(7);
