agents: epochs of a process that ended unreported; answers of an earlier epoch set no clock

The next process of an agent began the epoch after the newest one that was reported, which the one before may have left behind. An answer to a poll of an earlier epoch could set the clock that a call without an answer had just put in doubt. A refused poll forgot that the planner waits for the result of its orders.

Change: the next process begins 64 epochs later; only an answer of the present epoch sets the clock; a refused poll keeps the note.

--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -166,6 +166,7 @@
 /// Tells whether a refused poll may be repeated with a higher fencing token.
 fn overtake(agent: &Agent, poll: &WorkerPoll) -> bool {
     let mut state = agent.state();
+    state.has_new_orders |= poll.has_new_orders;
     state.fence == poll.fence && state.epoch.overtake(poll.token)
 }
 
@@ -196,7 +197,11 @@
         agent.notify_planner();
         return;
     }
-    state.worker_clock = Some(Reading { clock_ms: snapshot.clock_ms, read_at: clock::now().0 });
+    // A call of an earlier epoch says nothing about the one without an answer that began this epoch.
+    if poll.token == state.epoch.token(state.fence) {
+        let reading = Reading { clock_ms: snapshot.clock_ms, read_at: clock::now().0 };
+        state.worker_clock = Some(reading);
+    }
     state.leases.answer(clock::boot().0, poll.token);
     state.ends.confirm(poll.incarnation, poll.forget);
     state.ledger.apply_list(&snapshot.running, sent_at);
--- a/lib/src/batch/epoch.rs
+++ b/lib/src/batch/epoch.rs
@@ -14,6 +14,8 @@
 const BITS: u32 = 20;
 /// Highest epoch of a planner's term.
 const MAX_NUMBER: u64 = (1 << BITS) - 1;
+/// Most epochs that a process begins after its last report.
+const MAX_UNREPORTED: u64 = 64;
 
 /// The present epoch.
 #[token]
@@ -62,9 +64,9 @@
         }
     }
 
-    /// Records that an earlier process of the agent has sent calls of epochs up to `number`.
+    /// Begins an epoch after those of an earlier process of the agent, which has reported `number`.
     pub fn succeed(&mut self, number: u64) {
-        let next = number.saturating_add(1).min(MAX_NUMBER);
+        let next = number.saturating_add(MAX_UNREPORTED).min(MAX_NUMBER);
         if self.number < next {
             *self = Epoch { number: next, is_used: false, ..*self };
         }
