--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -62,7 +62,7 @@
         None => Duration::ZERO,
         Some(_) if state.worker_clock.is_none() => Duration::ZERO,
         Some(list) if list.fence != state.fence => Duration::ZERO,
-        // A call in progress may reach the next incarnation.
+        // An acknowledgement in progress may reach the next incarnation.
         Some(_) if forget != 0 => Duration::ZERO,
         // The planner waits for the result of its orders.
         Some(_) if has_new_orders => Duration::ZERO,
