batch: ends of runs, members of gangs and removed jobs in modules of their own

Cause: observe.rs and table.rs have grown; each record that is loaded was compared with all removed jobs.

Ends and gangs behave as before.

--- a/daemon/src/batch/planner.rs
+++ b/daemon/src/batch/planner.rs
@@ -103,7 +103,8 @@
     /// changes nothing.
     pub fn load_record(&self, id: Id, record: Record) {
         let mut tables = self.tables();
-        if tables.is_removed(id, &record) {
+        let is_known = tables.jobs.contains_key(&id);
+        if !is_known && tables.removed.contains(id, record.accepted_ms) {
             log::info!("event=removed-job-ignored job={id}");
             return;
         }
--- a/lib/src/batch/backfill.rs
+++ b/lib/src/batch/backfill.rs
@@ -15,10 +15,10 @@
 
 use crate::batch::assign;
 use crate::batch::event::Event;
+use crate::batch::gang;
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
-use crate::batch::observe;
 use crate::batch::place;
 use crate::batch::place::Availability;
 use crate::batch::preempt;
@@ -266,7 +266,7 @@
         }
         events.push(Event::Preempted { task: *task, run: run.number, by: instance.job });
         tables.stop_task(*task, Cause::Preempted);
-        observe::break_gang(tables, *task);
+        gang::break_up(tables, *task);
     }
     let since = tables.reservations.get(&instance).map_or(now, |reservation| reservation.since);
     reservation::reserve(tables, now, availability, candidate, step, plan.placements, events);
--- a/lib/src/batch/observe.rs
+++ b/lib/src/batch/observe.rs
@@ -2,26 +2,20 @@
 
 use std::time::Duration;
 
-use smallvec::SmallVec;
-
 use crate::batch::change::Change;
+use crate::batch::ending;
+use crate::batch::gang;
 use crate::batch::hold;
-use crate::batch::job::Id;
-use crate::batch::job::Task;
 use crate::batch::learned;
 use crate::batch::omission;
-use crate::batch::report::End;
-use crate::batch::report::Ending;
 use crate::batch::report::List;
 use crate::batch::report::Report;
 use crate::batch::run_time;
 use crate::batch::speed;
 use crate::batch::strike;
 use crate::batch::table;
-use crate::batch::table::Cause;
 use crate::batch::table::Phase;
 use crate::batch::table::Tables;
-use crate::batch::trust;
 use crate::clock::Millis;
 use crate::key;
 use crate::resource::Resources;
@@ -95,7 +89,7 @@
     worker.last_answer = Some(requested_at);
     worker.grant_until = list.sent_at.saturating_add(table::GRANT.as_millis() as u64);
     worker.has_partial_list = is_partial;
-    apply_ends(tables, now, key, list, &mut changes);
+    ending::apply(tables, now, key, list, &mut changes);
     apply_running(tables, now, key, list, &mut changes);
     if list.received_at != 0 {
         let age = report.clock.saturating_sub(list.received_at);
@@ -238,204 +232,8 @@
             run_time::observe_stopped(tables, now, run_key, &run);
         }
         tables.touch(task.instance.job);
-        break_gang(tables, task);
-    }
-}
-
-/// Stops the other members of a task's gang.
-pub fn break_gang(tables: &mut Tables, task: Task) {
-    if !tables.step(task.instance).is_some_and(|step| step.gang) {
-        return;
+        gang::break_up(tables, task);
     }
-    stop_members(tables, task, Cause::Gang, |_| true);
-}
-
-/// Stops the runs of a gang's members that a predicate selects.
-fn stop_members(tables: &mut Tables, task: Task, cause: Cause, pick: impl Fn(&table::Run) -> bool) {
-    let Some(task_states) = gang_members(tables, task) else { return };
-    let live: SmallVec<[key::Run; 16]> =
-        task_states.iter().filter_map(|task_state| task_state.live).collect();
-    for key in live {
-        if tables.runs.get(key).is_some_and(&pick) {
-            tables.stop_run(key, cause);
-        }
-    }
-}
-
-fn apply_ends(
-    tables: &mut Tables,
-    now: Millis,
-    key: key::Worker,
-    list: &List,
-    changes: &mut Vec<Change>,
-) {
-    tables.workers[key].last_readable_end = list.last_readable_end;
-    for end in &list.ends {
-        let newest = tables.workers[key].newest_end_seen;
-        // One that could not be read in an earlier list may have a lower number than others there.
-        if end.number <= newest && live_run_of(tables, key, end).is_none() {
-            continue;
-        }
-        tables.workers[key].newest_end_seen = newest.max(end.number);
-        let id = end.task.instance.job;
-        if hold::is_held(tables, id) {
-            // What the end changes cannot be recorded, so the worker has to keep it.
-            await_record(tables, key, id, u64::MAX);
-            continue;
-        }
-        apply_end(tables, now, key, end, changes);
-        if let Some(job) = tables.jobs.get(&id) {
-            let version = job.version;
-            if job.recorded_version < version {
-                await_record(tables, key, id, version);
-            }
-        }
-    }
-    tables.workers[key].acknowledge_recorded();
-}
-
-/// Notes that a worker has to keep its ends until a version of a job is recorded.
-fn await_record(tables: &mut Tables, key: key::Worker, id: Id, version: u64) {
-    tables.workers[key].unrecorded.insert(id, version);
-    if let Some(job) = tables.jobs.get_mut(&id)
-        && !job.unrecorded_at.contains(&key)
-    {
-        job.unrecorded_at.push(key);
-    }
-}
-
-/// Returns the run that ends, if it may exist on the worker as far as the planner knows.
-fn live_run_of(tables: &Tables, key: key::Worker, end: &End) -> Option<key::Run> {
-    let live = tables.task_state(end.task)?.live?;
-    let is_same = |run: &table::Run| run.number == end.run && run.worker == key;
-    tables.runs.get(live).is_some_and(is_same).then_some(live)
-}
-
-fn apply_end(
-    tables: &mut Tables,
-    now: Millis,
-    key: key::Worker,
-    end: &End,
-    changes: &mut Vec<Change>,
-) {
-    let task = end.task;
-    let gang = tables.step(task.instance).is_some_and(|step| step.gang);
-    let long_running = tables.step(task.instance).is_some_and(|step| step.long_running);
-    let Some(task_state) = tables.task_state_mut(task) else { return };
-    if task_state.run < end.run {
-        // Every run is recorded before it is ordered, so this one was never ordered.
-        changes.push(Change::NeverOrdered(task, end.run));
-        return;
-    }
-    changes.push(Change::Ended(task, end.run, end.how.clone()));
-    if !end.checkpoint.is_empty() && end.run == task_state.run {
-        task_state.checkpoint = end.checkpoint.clone();
-    }
-    tables.note_started(task.instance.job);
-    let current = live_run_of(tables, key, end);
-    if let Some(current) = current.filter(|_| end.ending == Ending::Done) {
-        speed::observe_end(tables, current, now);
-    }
-    let ended = current.and_then(|current| tables.remove_run(current));
-    if let (Some(key), Some(run)) = (current, &ended) {
-        run_time::observe_end(tables, now, key, run, end.ending);
-    }
-    let worked = ended.as_ref().map_or(Duration::MAX, |run| now.since(run.since));
-    let is_current = current.is_some();
-    let Some(task_state) = tables.task_state_mut(task) else { return };
-    match end.ending {
-        Ending::Done if !long_running => {
-            task_state.done = true;
-            if !is_current {
-                tables.stop_task(task, Cause::Surplus);
-            }
-            if gang {
-                finish_gang(tables, task, end.run);
-            }
-            tables.workers[key].health.record_success();
-            tables.workers[key].trust.observe_done(ended.as_ref(), now);
-        }
-        Ending::Failed => {
-            if task_state.failed_run < end.run {
-                task_state.failed_run = end.run;
-                task_state.failures += 1;
-            }
-            if !task_state.avoid.contains(&key) {
-                task_state.avoid.push(key);
-            }
-            if gang {
-                share_failure(tables, task, end.run);
-            }
-            if trust::record_failure(tables, now, key, task, end.run, ended.as_ref()) {
-                tables.workers[key].health.record_failure(now, task.instance.job, worked);
-            }
-        }
-        _ => {}
-    }
-    tables.touch(task.instance.job);
-    if gang && is_current && end.ending != Ending::Done {
-        break_gang(tables, task);
-    }
-    share_checkpoint(tables, task);
-}
-
-/// The success of one member is the success of its gang's whole run.
-fn finish_gang(tables: &mut Tables, task: Task, run: u32) {
-    let Some(task_states) = gang_members_mut(tables, task) else { return };
-    for task_state in task_states {
-        task_state.done = true;
-    }
-    stop_members(tables, task, Cause::Surplus, |live| live.number != run);
-}
-
-/// The failure of one member is the failure of its gang, counted once per run.
-fn share_failure(tables: &mut Tables, task: Task, run: u32) {
-    let Some(task_states) = gang_members_mut(tables, task) else { return };
-    let failures = task_states.iter().map(|task_state| task_state.failures).max().unwrap_or(0);
-    for task_state in task_states {
-        task_state.failures = failures;
-        task_state.failed_run = task_state.failed_run.max(run);
-    }
-}
-
-/// The stall of one member is the stall of its gang.
-pub(super) fn share_stalls(tables: &mut Tables, task: Task) {
-    let Some(task_states) = gang_members_mut(tables, task) else { return };
-    let stalls = task_states.iter().map(|task_state| task_state.stalls).max().unwrap_or(0);
-    task_states.iter_mut().for_each(|task_state| task_state.stalls = stalls);
-}
-
-/// A gang resumes from one checkpoint, whichever member saved it.
-fn share_checkpoint(tables: &mut Tables, task: Task) {
-    if !tables.step(task.instance).is_some_and(|step| step.gang) {
-        return;
-    }
-    let Some(task_states) = gang_members_mut(tables, task) else { return };
-    let Some(newest) =
-        task_states.get(task.index as usize).map(|task_state| task_state.checkpoint.clone())
-    else {
-        return;
-    };
-    if newest.is_empty() {
-        return;
-    }
-    for task_state in task_states {
-        if task_state.checkpoint != newest {
-            task_state.checkpoint.clone_from(&newest);
-        }
-    }
-}
-
-fn gang_members(tables: &Tables, task: Task) -> Option<&Vec<table::TaskState>> {
-    let occurrence =
-        tables.jobs.get(&task.instance.job)?.occurrences.get(&task.instance.occurrence)?;
-    occurrence.steps.get(usize::from(task.instance.step))
-}
-
-fn gang_members_mut(tables: &mut Tables, task: Task) -> Option<&mut Vec<table::TaskState>> {
-    let job = tables.jobs.get_mut(&task.instance.job)?;
-    let occurrence = job.occurrences.get_mut(&task.instance.occurrence)?;
-    occurrence.steps.get_mut(usize::from(task.instance.step))
 }
 
 fn apply_running(
@@ -514,7 +312,7 @@
             && task_state.checkpoint != row.checkpoint
         {
             task_state.checkpoint.clone_from(&row.checkpoint);
-            share_checkpoint(tables, row.task);
+            gang::share_checkpoint(tables, row.task);
         }
     }
     tables.workers[key].stray = stray;
--- a/lib/src/batch/omission.rs
+++ b/lib/src/batch/omission.rs
@@ -4,7 +4,7 @@
 //! which has room for some of the ends only, does not.
 
 use crate::batch::change::Change;
-use crate::batch::observe;
+use crate::batch::gang;
 use crate::batch::report::List;
 use crate::batch::run_time;
 use crate::batch::table::Phase;
@@ -45,7 +45,7 @@
             run_time::observe_stopped(tables, now, run_key, &run);
         }
         tables.touch(task.instance.job);
-        observe::break_gang(tables, task);
+        gang::break_up(tables, task);
     }
 }
 
--- a/lib/src/batch/order.rs
+++ b/lib/src/batch/order.rs
@@ -7,8 +7,8 @@
 use serde::Serialize;
 
 use crate::batch::advice;
+use crate::batch::gang;
 use crate::batch::job::Task;
-use crate::batch::observe;
 use crate::batch::table::Cause;
 use crate::batch::table::Phase;
 use crate::batch::table::Tables;
@@ -128,13 +128,13 @@
             if gang && *answer != Answer::Gone {
                 tables.refills.insert(order.task.instance, order.run);
             } else if gang {
-                observe::break_gang(tables, order.task);
+                gang::break_up(tables, order.task);
             }
         }
         (true, Answer::Unknown) => {
             tables.stop_run(key, Cause::InDoubt);
             if gang {
-                observe::break_gang(tables, order.task);
+                gang::break_up(tables, order.task);
             }
         }
         (false, Answer::Done(at)) => {
--- a/lib/src/batch/refill.rs
+++ b/lib/src/batch/refill.rs
@@ -6,10 +6,10 @@
 
 use crate::batch::assign;
 use crate::batch::event::Event;
+use crate::batch::gang;
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
 use crate::batch::job::Task;
-use crate::batch::observe;
 use crate::batch::place;
 use crate::batch::place::Availability;
 use crate::batch::table::Phase;
@@ -29,7 +29,7 @@
         let Some(missing) = missing_members(tables, instance, run) else { continue };
         let Some(index) = missing.first() else { continue };
         if !place_missing(tables, now, availability, instance, run, &missing, events) {
-            observe::break_gang(tables, Task { instance, index: *index });
+            gang::break_up(tables, Task { instance, index: *index });
         }
     }
 }
--- a/lib/src/batch/reservation.rs
+++ b/lib/src/batch/reservation.rs
@@ -10,10 +10,10 @@
 use crate::batch::backfill;
 use crate::batch::backfill::Forecast;
 use crate::batch::event::Event;
+use crate::batch::gang;
 use crate::batch::job::Id;
 use crate::batch::job::Step;
 use crate::batch::job::StepInstance;
-use crate::batch::observe;
 use crate::batch::place;
 use crate::batch::place::Availability;
 use crate::batch::preempt;
@@ -312,7 +312,7 @@
         stops_runs = true;
         events.push(Event::Preempted { task: *task, run: run.number, by: candidate.instance.job });
         tables.stop_task(*task, Cause::Preempted);
-        observe::break_gang(tables, *task);
+        gang::break_up(tables, *task);
     }
     reserve(tables, now, availability, candidate, step, plan.placements, events);
     if let Some(reservation) = tables.reservations.get_mut(&instance) {
--- a/lib/src/batch/supervise.rs
+++ b/lib/src/batch/supervise.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::batch::event::Event;
+use crate::batch::gang;
 use crate::batch::job::Task;
 use crate::batch::observe;
 use crate::batch::rank;
@@ -61,7 +62,7 @@
         }
     }
     if is_gang {
-        observe::share_stalls(tables, task);
+        gang::share_stalls(tables, task);
     }
 }
 
@@ -95,7 +96,7 @@
             events.push(Event::Stopped(task, run.number, Cause::Stuck.name()));
             record_stall(tables, task, key);
             tables.stop_run(run_key, Cause::Stuck);
-            observe::break_gang(tables, task);
+            gang::break_up(tables, task);
             if let Some(worker) = tables.workers.get_mut(key) {
                 worker.health.record_failure(now, task.instance.job, STUCK_AFTER);
             }
@@ -127,7 +128,7 @@
             }
             events.push(Event::Stopped(task, run.number, Cause::Leaving.name()));
             tables.stop_run(run_key, Cause::Leaving);
-            observe::break_gang(tables, task);
+            gang::break_up(tables, task);
         }
     }
 }
--- a/lib/src/batch/table.rs
+++ b/lib/src/batch/table.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,6 +33,7 @@
 use crate::batch::progress::Outcome;
 use crate::batch::quarantine;
 use crate::batch::rank;
+use crate::batch::removed;
 use crate::batch::run_time;
 use crate::batch::share;
 use crate::batch::shortage;
@@ -55,8 +55,6 @@
 const MAX_OPEN_TASKS: usize = 32_768;
 /// Number of a job's waiting steps from which no further occurrence begins: each tick ranks them all.
 const MAX_WAITING_STEPS: usize = 1000;
-/// Most removed jobs that are remembered; about as many as are removed in ten minutes.
-const MAX_REMOVED: usize = 1024;
 /// Twice the share by which a worker's clock may be slow, in percent.
 pub(super) const CLOCK_SLACK_PERCENT: u32 = 4;
 
@@ -532,8 +530,8 @@
     pub jobs: BTreeMap<Id, Job>,
     /// Stored records of jobs that were refused, or cancelled before their submission.
     pub refused: BTreeMap<Id, RefusedRecord>,
-    /// The jobs that were removed last, the oldest first, and when each was accepted.
-    removed: VecDeque<(Id, u64)>,
+    /// The jobs that were removed last.
+    pub removed: removed::Jobs,
     /// Runs that may exist.
     pub runs: SlotMap<key::Run, Run>,
     /// Workers.
@@ -614,7 +612,7 @@
             evacuated: BTreeSet::new(),
             jobs: BTreeMap::new(),
             refused: BTreeMap::new(),
-            removed: VecDeque::new(),
+            removed: removed::Jobs::default(),
             runs: SlotMap::with_key(),
             workers: SlotMap::with_key(),
             nodes: HashMap::new(),
@@ -701,10 +699,7 @@
     /// Removes a job without runs.
     pub fn remove_job(&mut self, id: Id) {
         if let Some(job) = self.jobs.remove(&id) {
-            if self.removed.len() == MAX_REMOVED {
-                self.removed.pop_front();
-            }
-            self.removed.push_back((id, job.record.accepted_ms));
+            self.removed.insert(id, job.record.accepted_ms);
         }
         for jobs in [
             &mut self.dirty,
@@ -717,12 +712,6 @@
         }
     }
 
-    /// Tells whether a record is of a job that was removed: the store may still list it, and a message
-    /// with it may arrive late. A job that is accepted later under the identifier is another one.
-    pub fn is_removed(&self, id: Id, record: &Record) -> bool {
-        !self.jobs.contains_key(&id) && self.removed.contains(&(id, record.accepted_ms))
-    }
-
     /// Returns a task's state.
     pub fn task_state(&self, task: Task) -> Option<&TaskState> {
         let occurrence =
