batch omission: a run whose end was dropped unread is told apart from one that never was

Cause: both were logged as "not listed by its worker" and counted alike. A worker lists a run until its end is acknowledged, so a run that a list has shown, and that a complete list of the same incarnation omits, has ended in a way that nobody has read.

Change: such a run is reported as EndUnread: a warning with the cause "its end was not read", and lavendergauge_runs_with_unread_end_total. Its task still starts again: it is not known whether it was done, and a task that never ends does more harm than one that runs twice.

--- a/daemon/src/batch/event_log.rs
+++ b/daemon/src/batch/event_log.rs
@@ -257,6 +257,10 @@
         Change::Lost(task, run, cause) => {
             log::info!("event=run-over task={task} run={run} cause=\"{cause}\"");
         }
+        Change::EndUnread(task, run) => {
+            counter!("lavendergauge_runs_with_unread_end_total").increment(1);
+            log::warn!("event=run-over task={task} run={run} cause=\"its end was not read\"");
+        }
         Change::Cleared(task, run) => log::info!("event=task-cleared task={task} run={run}"),
         Change::Resized { node, before, after, is_overcommitted } => {
             counter!("lavendergauge_workers_resized_total").increment(1);
--- a/lib/src/batch/change.rs
+++ b/lib/src/batch/change.rs
@@ -50,6 +50,9 @@
     Ended(Task, u32, String),
     /// A run has ended although no worker listed its end, for a reason.
     Lost(Task, u32, &'static str),
+    /// A run that was listed is neither listed nor among the ends any more: its worker has dropped its
+    /// end before it was read, so it is not known how the run ended.
+    EndUnread(Task, u32),
     /// A task that may have crashed workers has shown that it does not.
     Cleared(Task, u32),
     /// A worker has a run that is not expected there.
--- a/lib/src/batch/omission.rs
+++ b/lib/src/batch/omission.rs
@@ -22,6 +22,9 @@
 /// Ends the runs that are missing from a list, if the list was requested after their newest order
 /// was settled.
 ///
+/// A run that was listed before has ended in a way that is not known, and its task starts again: a task
+/// that never ends does more harm than one that runs twice.
+///
 /// A run that a partial list omits may exist. It ends only after the worker has confirmed a stop, and not
 /// while its end may be among those that follow the listed ones.
 pub(super) fn end_missing_runs(
@@ -40,7 +43,13 @@
         if !here || !settled || listed {
             continue;
         }
-        changes.push(Change::Lost(task, run.number, "not listed by its worker"));
+        // The end of a gang's member stands for those of the others.
+        let is_done = tables.task_state(task).is_some_and(|task_state| task_state.done);
+        changes.push(if run.seen_at.is_some() && !is_done {
+            Change::EndUnread(task, run.number)
+        } else {
+            Change::Lost(task, run.number, "not listed by its worker")
+        });
         if let Some(run) = tables.remove_run(run_key) {
             run_time::observe_stopped(tables, now, run_key, &run);
         }
--- a/lib/tests/batch_sim/mod.rs
+++ b/lib/tests/batch_sim/mod.rs
@@ -474,8 +474,13 @@
             let changes =
                 observe::apply_report(&mut self.tables, Millis(self.now), self.fence, &report);
             for change in changes {
-                if let Change::Unexpected(task, run) = change {
-                    self.stop(index, task, run);
+                match change {
+                    Change::Unexpected(task, run) => self.stop(index, task, run),
+                    // The workers keep ends until these are acknowledged.
+                    Change::EndUnread(task, run) => {
+                        panic!("the end of {task}, run {run}, was not read")
+                    }
+                    _ => {}
                 }
             }
         }
