agents: a start that an epoch has overtaken is repeated; refusals are logged on change

Cause: an order that was on its way when an epoch began was refused, and the planner then gave that worker nothing for 400 ms; a late heartbeat of an earlier incarnation was enough for that. A refused poll logged a line four times a second.

Change: such a start is checked and sent once more under the new epoch. The line of a refused poll is written when the planner's token changes.

--- a/daemon/src/batch/agent_order.rs
+++ b/daemon/src/batch/agent_order.rs
@@ -88,6 +88,24 @@
     let Ok(_permit) = agent.starts.acquire().await else {
         return Answer::Refused("agent-stopping".to_owned());
     };
+    let token = agent.state().epoch.token(fence);
+    let answer = try_start(agent, fence, order, &start, expires, capacity).await;
+    // An epoch that began while the order was on its way made the worker refuse it.
+    let is_outdated = answer == Answer::Refused(worker::FENCED.to_owned());
+    if is_outdated && token < agent.state().epoch.token(fence) {
+        return try_start(agent, fence, order, &start, expires, capacity).await;
+    }
+    answer
+}
+
+async fn try_start(
+    agent: &Agent,
+    fence: u64,
+    order: &Order,
+    start: &Start<'_>,
+    expires: u64,
+    capacity: Resources,
+) -> Answer {
     if fence < agent.state().fence {
         return Answer::Refused("superseded".to_owned());
     }
@@ -108,7 +126,7 @@
     let Some(lease_until_ms) = agent.next_lease() else {
         return Answer::Refused("no-grant".to_owned());
     };
-    let start = Start { lease_until_ms, ..start };
+    let start = Start { lease_until_ms, ..start.clone() };
     agent.state().ledger.begin_start(order.task, order.run, clock::boot().0);
     let answer = agent.client.start(&id, call_token(agent, fence), &start).await;
     if let Ok(answer) = &answer {
--- a/daemon/src/batch/agent_state.rs
+++ b/daemon/src/batch/agent_state.rs
@@ -132,6 +132,11 @@
         if is_fenced {
             self.leases.answer(clock::boot().0, token);
         }
+        let now = clock::boot().0;
+        log::info!(
+            "event=stale-lease worker={id} incarnation={incarnation} ms={}",
+            self.leases.stale_until(now).saturating_sub(now)
+        );
         if is_new {
             self.ends = ends::Reader::new(incarnation);
         }
--- a/daemon/src/batch/agent_worker.rs
+++ b/daemon/src/batch/agent_worker.rs
@@ -89,6 +89,8 @@
 /// Polls the worker for its runs for as long as the process runs.
 pub async fn follow(agent: Arc<Agent>) {
     let mut is_lost = false;
+    // Fencing token of the planner whose polls the worker refuses; 0 while it refuses none.
+    let mut refused_fence = 0;
     loop {
         let Some(poll) = next_poll(&agent) else {
             let _ = time::timeout(PAUSE_UNKNOWN, agent.wake.notified()).await;
@@ -109,6 +111,7 @@
                     log::info!("event=worker-regained worker={}", poll.id);
                     set_worker_responsive(&agent, true);
                 }
+                refused_fence = 0;
                 apply_snapshot(&agent, &poll, sent_at, snapshot);
                 if poll.is_leaving {
                     time::sleep(PAUSE_LEAVING).await;
@@ -125,14 +128,18 @@
                     _ => "instance",
                 };
                 counter!("lavendergauge_worker_polls_refused_total", "cause" => cause).increment(1);
-                log::info!(
-                    "event=worker-refused worker={} fence={} cause={cause}",
-                    poll.id,
-                    poll.fence
-                );
+                if refusal == Poll::Gone || refused_fence != poll.fence {
+                    log::info!(
+                        "event=worker-refused worker={} fence={} token={} cause={cause}",
+                        poll.id,
+                        poll.fence,
+                        poll.token
+                    );
+                }
                 if refusal == Poll::Gone {
                     end_worker(&agent, &poll, "another worker answers at its address");
                 } else {
+                    refused_fence = poll.fence;
                     time::sleep(PAUSE_FAILED).await;
                 }
             }
